--- /dev/null
+++ b/crates/director/src/core.rs
@@ -0,0 +1,227 @@
+//! The task that owns the engine. What has come in is drained into one round; effects go to the tasks that they
+//! concern without waiting for any of them.
+
+use std::collections::HashMap;
+use std::io::Write;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use ashglade::ids::{Rung, Sess, SetupNo};
+use ashglade::interface::Ending;
+use ashglade::time::Instant;
+use ashglade_engine::record::{Head, Line};
+use ashglade_engine::{Answer, Effect, Engine, Input, Start, Tally};
+use tokio::sync::{mpsc, oneshot, watch};
+use tracing::{debug, info, warn};
+
+use crate::probe;
+use crate::serve::Shared;
+
+/// Inputs that wait for the engine at most; a full channel slows those who read sockets.
+pub const INPUTS: usize = 4096;
+/// Inputs taken into one round at most.
+const ROUND: usize = 1024;
+/// Orders that wait for a session at most: more than the engine has for one session at once.
+pub const ORDERS: usize = 16;
+
+/// What a session's task is told.
+#[derive(Clone, Copy, Debug)]
+pub enum Order {
+    Setup { setup: SetupNo, address: SocketAddr, rung: Rung },
+    Withdraw { setup: SetupNo, if_unsent: bool },
+    Answer(Answer),
+    Rung(Rung),
+    Release,
+}
+
+pub enum Command {
+    Input(Input),
+    /// A viewer asks for a session; its orders go to this channel from now on.
+    Open {
+        input: Input,
+        sess: Sess,
+        orders: mpsc::Sender<Order>,
+    },
+    /// The session's task needs no more orders.
+    Close(Sess),
+    Tally(oneshot::Sender<(Tally, usize)>),
+}
+
+/// How other tasks reach the engine.
+#[derive(Clone)]
+pub struct Core {
+    commands: mpsc::Sender<Command>,
+}
+
+impl Core {
+    pub fn new() -> (Core, mpsc::Receiver<Command>) {
+        let (commands, receiver) = mpsc::channel(INPUTS);
+        (Core { commands }, receiver)
+    }
+
+    pub async fn tell(&self, input: Input) {
+        self.send(Command::Input(input)).await;
+    }
+
+    pub async fn send(&self, command: Command) {
+        // The engine's task ends only with the process.
+        let _ = self.commands.send(command).await;
+    }
+
+    pub async fn tally(&self) -> Option<(Tally, usize)> {
+        let (reply, told) = oneshot::channel();
+        self.send(Command::Tally(reply)).await;
+        told.await.ok()
+    }
+}
+
+struct Loop {
+    engine: Engine,
+    shared: Arc<Shared>,
+    sessions: HashMap<Sess, mpsc::Sender<Order>>,
+    /// What came of the last round's effects at once.
+    next: Vec<Input>,
+    record: Option<std::io::BufWriter<std::fs::File>>,
+    drained: watch::Sender<bool>,
+}
+
+/// Runs until no task holds a [`Core`] any longer.
+pub async fn run(
+    shared: Arc<Shared>,
+    start: Start,
+    mut commands: mpsc::Receiver<Command>,
+    record: Option<std::fs::File>,
+    drained: watch::Sender<bool>,
+) {
+    let clock = shared.clock;
+    let begun = clock.now();
+    let mut record = record.map(std::io::BufWriter::new);
+    if let Some(file) = &mut record {
+        write_line(file, &Head { started: begun });
+    }
+    let engine = Engine::start(start, begun);
+    let mut this = Loop { engine, shared, sessions: HashMap::new(), next: Vec::new(), record, drained };
+    let mut taken = Vec::with_capacity(ROUND);
+    let mut flushed = clock.now();
+    loop {
+        let due = this.engine.next_due().map(|at| clock.at(at));
+        let wait = async {
+            match due {
+                Some(at) => tokio::time::sleep_until(at).await,
+                None => std::future::pending().await,
+            }
+        };
+        if this.next.is_empty() {
+            tokio::select! {
+                n = commands.recv_many(&mut taken, ROUND) => if n == 0 { break },
+                () = wait => {}
+            }
+        }
+        let mut inputs = std::mem::take(&mut this.next);
+        inputs.extend(taken.drain(..).filter_map(|command| this.admit(command)));
+        this.round(clock.now(), inputs);
+        if clock.now() - flushed > ashglade::time::Span::from_secs(1.0)
+            && let Some(file) = &mut this.record
+        {
+            let _ = file.flush();
+            flushed = clock.now();
+        }
+    }
+}
+
+impl Loop {
+    fn admit(&mut self, command: Command) -> Option<Input> {
+        match command {
+            Command::Input(input) => Some(input),
+            Command::Open { input, sess, orders } => {
+                self.sessions.insert(sess, orders);
+                Some(input)
+            }
+            Command::Close(sess) => {
+                self.sessions.remove(&sess);
+                None
+            }
+            Command::Tally(reply) => {
+                let _ = reply.send((self.engine.tally().clone(), self.engine.in_hand()));
+                None
+            }
+        }
+    }
+
+    fn round(&mut self, now: Instant, inputs: Vec<Input>) {
+        let recorded = self.record.is_some().then(|| inputs.clone());
+        let effects = self.engine.round(now, inputs);
+        if let (Some(file), Some(inputs)) = (&mut self.record, recorded) {
+            write_line(file, &Line { at: now, inputs, effects: effects.clone() });
+        }
+        for effect in effects {
+            self.act(effect);
+        }
+    }
+
+    fn act(&mut self, effect: Effect) {
+        match effect {
+            Effect::Setup { sess, setup, node, rung, .. } => {
+                let address = self.engine.roster().entry(node).map(|entry| entry.address);
+                let sent = address.is_some_and(|address| {
+                    debug!(sess = sess.0, node = %address, rung = rung.0, "SETUP");
+                    self.order(sess, Order::Setup { setup, address, rung })
+                });
+                if !sent {
+                    self.next.push(Input::Ended { sess, setup, how: Ending::Unsent, load: None });
+                }
+            }
+            Effect::Withdraw { sess, setup, if_unsent } => {
+                self.order(sess, Order::Withdraw { setup, if_unsent });
+            }
+            Effect::Answer { sess, answer } => {
+                debug!(sess = sess.0, ?answer, "answered");
+                self.order(sess, Order::Answer(answer));
+            }
+            Effect::Rung { sess, rung } => {
+                debug!(sess = sess.0, rung = rung.0, "rung");
+                self.order(sess, Order::Rung(rung));
+            }
+            Effect::Release { sess } => {
+                self.order(sess, Order::Release);
+            }
+            Effect::Probe { probe, node } => {
+                let address = self.engine.roster().entry(node).map(|entry| entry.address);
+                match address {
+                    Some(address) => drop(tokio::spawn(probe::probe(self.shared.clone(), probe, address))),
+                    None => self.next.push(Input::Probed { probe, load: None }),
+                }
+            }
+            Effect::Listed { generation, refused: None } => info!(generation, "box list taken"),
+            Effect::Listed { generation, refused: Some(why) } => {
+                warn!(generation, why, "box list left out; the one held stays in force");
+            }
+            Effect::Drained => {
+                let _ = self.drained.send(true);
+            }
+        }
+    }
+
+    /// Hands an order to the session's task; false where that is gone or doesn't take orders.
+    fn order(&mut self, sess: Sess, order: Order) -> bool {
+        let Some(orders) = self.sessions.get(&sess) else { return false };
+        match orders.try_send(order) {
+            Ok(()) => true,
+            Err(error) => {
+                if matches!(error, mpsc::error::TrySendError::Full(_)) {
+                    warn!(sess = sess.0, "takes no orders; let go");
+                    self.next.push(Input::Left { sess });
+                }
+                self.sessions.remove(&sess);
+                false
+            }
+        }
+    }
+}
+
+fn write_line(file: &mut std::io::BufWriter<std::fs::File>, line: &impl serde::Serialize) {
+    let written = serde_json::to_writer(&mut *file, line).map_err(std::io::Error::from);
+    if let Err(error) = written.and_then(|()| file.write_all(b"\n")) {
+        warn!(%error, "the record can't be written");
+    }
+}
--- /dev/null
+++ b/crates/director/src/lib.rs
@@ -0,0 +1,14 @@
+//! The director on sockets: a thin shell around the engine. One task owns the engine and drains what has come in
+//! into one round; connection tasks carry bytes and time. Nothing here decides.
+
+mod attempt;
+mod clock;
+mod core;
+mod node;
+mod pool;
+mod probe;
+mod serve;
+mod viewer;
+
+pub use clock::Clock;
+pub use serve::{Options, Trouble, load, replay_start, serve};
--- /dev/null
+++ b/crates/director/src/serve.rs
@@ -0,0 +1,183 @@
+//! Starting, listening, following the box list, stopping.
+
+use std::path::{Path, PathBuf};
+use std::sync::atomic::AtomicU64;
+use std::sync::{Arc, Mutex};
+
+use ashglade_engine::{Input, Start};
+use ashglade_roster::List;
+use ashglade_settings::{Names, Settings};
+use tokio::net::TcpListener;
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::{Semaphore, watch};
+use tracing::{info, warn};
+
+use crate::clock::Clock;
+use crate::core::{self, Core};
+use crate::pool::Pool;
+use crate::viewer;
+
+/// What every task may need.
+pub struct Shared {
+    pub core: Core,
+    pub clock: Clock,
+    pub pool: Pool,
+    pub settings: Settings,
+    pub next_sess: AtomicU64,
+    random: Mutex<oorandom::Rand64>,
+}
+
+impl Shared {
+    /// For names of sessions and SSRCs, which only have to differ.
+    pub fn random(&self) -> u64 {
+        self.random.lock().unwrap_or_else(|broken| broken.into_inner()).rand_u64()
+    }
+}
+
+#[derive(Debug, thiserror::Error)]
+pub enum Trouble {
+    #[error("{path}: {source}")]
+    Read { path: PathBuf, source: std::io::Error },
+    #[error(transparent)]
+    Settings(#[from] ashglade_settings::Trouble),
+    #[error("{path}: {source}")]
+    List { path: PathBuf, source: ashglade_roster::Refusal },
+    #[error("listening at {address}: {source}")]
+    Listen { address: std::net::SocketAddr, source: std::io::Error },
+    #[error("signals can't be caught: {0}")]
+    Signals(std::io::Error),
+}
+
+/// How a director is started.
+#[derive(Clone, Debug, Default)]
+pub struct Options {
+    pub settings: PathBuf,
+    /// Where each round is written, if anywhere.
+    pub record: Option<PathBuf>,
+}
+
+fn read(path: &Path) -> Result<String, Trouble> {
+    std::fs::read_to_string(path).map_err(|source| Trouble::Read { path: path.to_path_buf(), source })
+}
+
+/// Reads and checks settings and box list; the path of the latter.
+pub fn load(path: &Path) -> Result<(Settings, List, PathBuf), Trouble> {
+    let settings = ashglade_settings::settings(&path.display().to_string(), &read(path)?)?;
+    let boxes = path.parent().unwrap_or(Path::new(".")).join(&settings.box_list);
+    let list = ashglade_settings::boxes(&boxes.display().to_string(), &read(&boxes)?, &settings.names)?;
+    ashglade_roster::Roster::default()
+        .offer(list.clone())
+        .map_err(|source| Trouble::List { path: boxes.clone(), source })?;
+    Ok((settings, list, boxes))
+}
+
+/// What the engine is started with, from settings.
+pub fn replay_start(settings: &Settings) -> Start {
+    Start {
+        headend: settings.headend.clone(),
+        answer_margin: settings.answer_margin,
+        probe_timeout: settings.probe_timeout,
+        most_sessions: settings.most_sessions,
+    }
+}
+
+/// Runs a director until it is told to stop: the first SIGTERM or SIGINT drains it, the second ends it.
+pub async fn serve(options: Options) -> Result<(), Trouble> {
+    let (settings, list, boxes) = load(&options.settings)?;
+    let record = match &options.record {
+        Some(path) => {
+            let made = std::fs::File::create(path);
+            Some(made.map_err(|source| Trouble::Read { path: path.clone(), source })?)
+        }
+        None => None,
+    };
+    let address = settings.front.listen;
+    let listener = TcpListener::bind(address).await.map_err(|source| Trouble::Listen { address, source })?;
+    let mut terms = signal(SignalKind::terminate()).map_err(Trouble::Signals)?;
+    let mut interrupts = signal(SignalKind::interrupt()).map_err(Trouble::Signals)?;
+    let clock = Clock::start();
+    let (core, commands) = Core::new();
+    let started = clock.now().as_ms() as u64;
+    let shared = Arc::new(Shared {
+        core,
+        clock,
+        pool: Pool::new(settings.front.idle_connections),
+        settings: settings.clone(),
+        next_sess: AtomicU64::new(started << 20),
+        random: Mutex::new(oorandom::Rand64::new(
+            u128::from(started) << 64 | u128::from(settings.headend.seed),
+        )),
+    });
+    let (drained, mut is_drained) = watch::channel(false);
+    shared.core.tell(Input::List(list.clone())).await;
+    tokio::spawn(core::run(shared.clone(), replay_start(&settings), commands, record, drained));
+    tokio::spawn(follow(shared.clone(), boxes, settings.names.clone()));
+    info!(%address, director = settings.headend.me, nodes = list.entries.len(), "serving");
+
+    // Beyond the bound viewers wait in the kernel's queue: nothing of theirs has been taken.
+    let places = Arc::new(Semaphore::new(settings.front.most_connections));
+    loop {
+        let accept = async {
+            let place = places.clone().acquire_owned().await;
+            (listener.accept().await, place)
+        };
+        tokio::select! {
+            (accepted, place) = accept => match (accepted, place) {
+                (Ok((stream, _)), Ok(place)) => {
+                    let shared = shared.clone();
+                    tokio::spawn(async move {
+                        viewer::run(shared, stream).await;
+                        drop(place);
+                    });
+                }
+                (Err(error), _) => {
+                    // As when no more files may be opened: others must end first.
+                    warn!(%error, "a connection could not be accepted");
+                    tokio::time::sleep(std::time::Duration::from_millis(50)).await;
+                }
+                (_, Err(_)) => break,
+            },
+            _ = terms.recv() => break,
+            _ = interrupts.recv() => break,
+        }
+    }
+    drop(listener);
+    info!("draining: nothing new is taken");
+    shared.core.tell(Input::Drain).await;
+    tokio::select! {
+        _ = is_drained.wait_for(|&drained| drained) => {}
+        () = tokio::time::sleep(shared.settings.front.drain) => info!("the time to drain is over"),
+        _ = terms.recv() => info!("told to stop again"),
+        _ = interrupts.recv() => info!("told to stop again"),
+    }
+    if let Some((tally, in_hand)) = shared.core.tally().await {
+        let tally = serde_json::to_string(&tally).unwrap_or_default();
+        info!(in_hand, tally, "stopped");
+    }
+    Ok(())
+}
+
+/// Reads the box list again whenever it has changed. What can't be read, or is refused, leaves the list in force.
+async fn follow(shared: Arc<Shared>, path: PathBuf, names: Names) {
+    let mut last = String::new();
+    let mut tick = tokio::time::interval(shared.settings.front.list_poll);
+    loop {
+        tick.tick().await;
+        let text = match tokio::fs::read_to_string(&path).await {
+            Ok(text) if text != last => text,
+            Ok(_) => continue,
+            Err(error) => {
+                if !last.is_empty() {
+                    warn!(path = %path.display(), %error, "the box list can't be read; the one held stays in force");
+                    last.clear();
+                }
+                continue;
+            }
+        };
+        match ashglade_settings::boxes(&path.display().to_string(), &text, &names) {
+            Ok(list) => shared.core.tell(Input::List(list)).await,
+            Err(trouble) => warn!(%trouble, "box list left out; the one held stays in force"),
+        }
+        last = text;
+    }
+}
--- /dev/null
+++ b/crates/engine/src/desk.rs
@@ -0,0 +1,87 @@
+//! The module's writer: turns its decisions into effects, and notes what they mean for sessions in hand.
+
+use ashglade::ids::{Node, Rung, Sess, SetupNo, Ticket};
+use ashglade::interface::Writer;
+use ashglade::time::{Instant, Span};
+
+use crate::answers::Hands;
+use crate::setups::{Out, Withdrawn};
+use crate::timers::{Timer, Timers};
+use crate::words::{Answer, Effect};
+
+pub(crate) struct Desk<'a> {
+    pub now: Instant,
+    pub hands: &'a mut Hands,
+    pub timers: &'a mut Timers,
+    pub effects: &'a mut Vec<Effect>,
+    /// Probes out, by number, and the time each may take.
+    pub probes: &'a mut std::collections::BTreeMap<u64, Node>,
+    pub next_probe: &'a mut u64,
+    pub probe_timeout: Span,
+}
+
+impl Desk<'_> {
+    fn answer(&mut self, sess: Sess, answer: Answer) {
+        if self.hands.answer(sess, &answer) {
+            self.effects.push(Effect::Answer { sess, answer });
+        }
+    }
+}
+
+impl Writer for Desk<'_> {
+    fn setup(&mut self, sess: Sess, node: Node, until: Instant) {
+        let Some(hand) = self.hands.get_mut(sess) else { return };
+        if hand.out.is_some() {
+            // Never two out for a session, whoever asks.
+            self.hands.tally.doubled += 1;
+            return;
+        }
+        let setup = SetupNo(hand.setups);
+        hand.setups += 1;
+        hand.out = Some(Out::new(setup, node, hand.rung, until));
+        let rung = hand.rung;
+        self.hands.tally.setups += 1;
+        self.timers.at(until, Timer::Setup(sess, setup));
+        self.effects.push(Effect::Setup { sess, setup, node, rung, until });
+    }
+
+    fn rung(&mut self, sess: Sess, rung: Rung) {
+        let Some(hand) = self.hands.get_mut(sess) else { return };
+        let changed = std::mem::replace(&mut hand.rung, rung) != rung;
+        if changed && hand.plays_at.is_some() {
+            self.hands.tally.rungs += 1;
+            self.effects.push(Effect::Rung { sess, rung });
+        }
+    }
+
+    fn busy(&mut self, sess: Sess, retry_after: Option<Span>) {
+        self.answer(sess, Answer::Busy { retry_after });
+    }
+
+    fn tear_down(&mut self, sess: Sess) {
+        self.answer(sess, Answer::TornDown);
+    }
+
+    fn cancel(&mut self, sess: Sess, setup: SetupNo) {
+        let out = self.hands.get_mut(sess).and_then(|hand| hand.out.as_mut());
+        if out.filter(|out| out.setup == setup).is_some_and(|out| out.withdraw(Withdrawn::ViewerLeft)) {
+            self.effects.push(Effect::Withdraw { sess, setup, if_unsent: false });
+        }
+    }
+
+    fn probe(&mut self, node: Node) {
+        let probe = *self.next_probe;
+        *self.next_probe += 1;
+        self.probes.insert(probe, node);
+        self.hands.tally.probes += 1;
+        self.timers.at(self.now + self.probe_timeout, Timer::Probe(probe));
+        self.effects.push(Effect::Probe { probe, node });
+    }
+
+    fn wake(&mut self, ticket: Ticket, after: Span) {
+        self.timers.at(self.now + after, Timer::Wake(ticket));
+    }
+
+    /// The list comes by itself.
+    fn follow_list(&mut self, _on: bool) {}
+}
--- /dev/null
+++ b/crates/engine/src/engine.rs
@@ -0,0 +1,407 @@
+//! The rounds.
+
+use std::collections::BTreeMap;
+
+use ashglade::ids::{Node, Sess, SetupNo};
+use ashglade::interface::{Ending, Headend, Viewing};
+use ashglade::policy::{Director, Round};
+use ashglade::time::{Instant, Span};
+use ashglade_roster::{List, Roster, Standing};
+
+use crate::answers::{Hand, Hands, Tally};
+use crate::desk::Desk;
+use crate::notes::Notes;
+use crate::setups::{self, Withdrawn};
+use crate::timers::{Timer, Timers};
+use crate::words::{Answer, Effect, Input, Load, Want};
+
+/// What an engine is started with.
+#[derive(Clone, Debug)]
+pub struct Start {
+    pub headend: Headend,
+    /// Kept of each setup timeout for the way of the answer.
+    pub answer_margin: Span,
+    pub probe_timeout: Span,
+    /// Sessions in hand at once, set-ups included.
+    pub most_sessions: usize,
+}
+
+/// Delivered shares are told once a second.
+const NOTES_EVERY: f64 = 1.0;
+
+pub struct Engine {
+    director: Director,
+    start: Start,
+    roster: Roster,
+    hands: Hands,
+    timers: Timers,
+    notes: Notes,
+    probes: BTreeMap<u64, Node>,
+    next_probe: u64,
+    draining: bool,
+    drained: bool,
+}
+
+/// One piece of news for the module, in its words.
+enum News {
+    List,
+    Asked(Sess, Viewing),
+    Left(Sess),
+    Started(Sess, SetupNo, Node),
+    Ended(Sess, SetupNo, Node, Ending, bool),
+    Stays(Sess, ashglade::ids::Rung),
+    Delivered(Node, f64),
+    Load(Node, Load),
+    Probed(Node, bool),
+    Woke(ashglade::ids::Ticket),
+}
+
+impl Engine {
+    pub fn start(start: Start, now: Instant) -> Engine {
+        let mut timers = Timers::default();
+        timers.at(now + Span::from_secs(NOTES_EVERY), Timer::Notes);
+        Engine {
+            director: Director::start(&start.headend, now),
+            start,
+            roster: Roster::default(),
+            hands: Hands::default(),
+            timers,
+            notes: Notes::default(),
+            probes: BTreeMap::new(),
+            next_probe: 0,
+            draining: false,
+            drained: false,
+        }
+    }
+
+    /// When the next round is due if nothing comes in before.
+    pub fn next_due(&self) -> Option<Instant> {
+        self.timers.next()
+    }
+
+    pub fn tally(&self) -> &Tally {
+        &self.hands.tally
+    }
+
+    pub fn in_hand(&self) -> usize {
+        self.hands.len()
+    }
+
+    pub fn roster(&self) -> &Roster {
+        &self.roster
+    }
+
+    /// Takes all that has come in, in order, then what is due, and lets the module decide once.
+    pub fn round(&mut self, now: Instant, inputs: Vec<Input>) -> Vec<Effect> {
+        let mut effects = Vec::new();
+        let mut news = Vec::new();
+        for input in inputs {
+            self.take(now, input, &mut news, &mut effects);
+        }
+        // Answers that are late only because we stood still have been taken; now what they left undone is due.
+        while let Some(timer) = self.timers.pop(now) {
+            self.due(now, timer, &mut news, &mut effects);
+        }
+        let mut desk = Desk {
+            now,
+            hands: &mut self.hands,
+            timers: &mut self.timers,
+            effects: &mut effects,
+            probes: &mut self.probes,
+            next_probe: &mut self.next_probe,
+            probe_timeout: self.start.probe_timeout,
+        };
+        let roster = &self.roster;
+        self.director.round(now, |round| news.iter().for_each(|n| tell(round, roster, n)), &mut desk);
+        if self.draining && !self.drained && self.hands.is_empty() {
+            self.drained = true;
+            effects.push(Effect::Drained);
+        }
+        effects
+    }
+
+    fn take(&mut self, now: Instant, input: Input, news: &mut Vec<News>, effects: &mut Vec<Effect>) {
+        match input {
+            Input::List(list) => self.list(list, news, effects),
+            Input::Asked { sess, want } => self.asked(now, sess, want, news, effects),
+            Input::Left { sess } => self.left(sess, news, effects),
+            Input::Written { sess, setup } => {
+                if let Some(out) = self.out_mut(sess, setup) {
+                    out.written = true;
+                }
+            }
+            Input::Started { sess, setup, load } => self.started(sess, setup, load, news, effects),
+            Input::Ended { sess, setup, how, load } => {
+                let Some(out) = self.out_mut(sess, setup) else { return };
+                let (node, how) = (out.node, out.ending(how));
+                if let Some(load) = load {
+                    news.push(News::Load(node, load));
+                }
+                self.ended(sess, setup, node, how, news);
+            }
+            Input::Over { sess, how } => {
+                let Some((node, setups)) = self.hands.get(sess).and_then(|h| Some((h.plays_at?, h.setups)))
+                else {
+                    return;
+                };
+                self.hands.tally.broken += 1;
+                self.hands.remove(sess);
+                news.push(News::Ended(sess, SetupNo(setups.saturating_sub(1)), node, how, true));
+            }
+            Input::Stays { sess, rung } => {
+                if let Some(hand) = self.hands.get_mut(sess) {
+                    hand.rung = rung;
+                    news.push(News::Stays(sess, rung));
+                }
+            }
+            Input::Flow { sess, share } => {
+                if let Some(hand) = self.hands.get(sess)
+                    && let Some(node) = hand.plays_at
+                {
+                    let scale = self.start.headend.groups.get(hand.group.0).map_or(1.0, |g| g.scale);
+                    let rung = self.start.headend.ladder.get(usize::from(hand.rung.0));
+                    self.notes.add(node, rung.map_or(0.0, |&(kb, _)| kb) * scale, share);
+                }
+            }
+            Input::Load { node, load } => news.push(News::Load(node, load)),
+            Input::Probed { probe, load } => {
+                if let Some(node) = self.probes.remove(&probe) {
+                    news.extend(load.map(|load| News::Load(node, load)));
+                    news.push(News::Probed(node, load.is_some()));
+                }
+            }
+            Input::Drain => self.draining = true,
+        }
+    }
+
+    fn out_mut(&mut self, sess: Sess, setup: SetupNo) -> Option<&mut setups::Out> {
+        self.hands.get_mut(sess)?.out.as_mut().filter(|out| out.setup == setup)
+    }
+
+    fn list(&mut self, list: List, news: &mut Vec<News>, effects: &mut Vec<Effect>) {
+        let refused = match self.roster.offer(list) {
+            Ok(None) => return,
+            Ok(Some(_)) => {
+                news.push(News::List);
+                self.recall(effects);
+                None
+            }
+            Err(refusal) => Some(refusal.to_string()),
+        };
+        let generation = self.roster.list().map_or(0, |list| list.generation);
+        effects.push(Effect::Listed { generation, refused });
+    }
+
+    /// Rule 3: what waits for a connection to a node that now drains or is gone must not be written later, when
+    /// the grace may be over. What has been written goes on.
+    fn recall(&mut self, effects: &mut Vec<Effect>) {
+        let roster = &self.roster;
+        for (sess, hand) in self.hands.iter_mut() {
+            let Some(out) = &mut hand.out else { continue };
+            let ready = roster.entry(out.node).is_some_and(|e| e.standing == Standing::Ready);
+            if !ready && !out.written && out.withdrawn.is_none() && out.withdraw(Withdrawn::Recalled) {
+                effects.push(Effect::Withdraw { sess, setup: out.setup, if_unsent: true });
+            }
+        }
+    }
+
+    fn asked(
+        &mut self,
+        now: Instant,
+        sess: Sess,
+        want: Want,
+        news: &mut Vec<News>,
+        effects: &mut Vec<Effect>,
+    ) {
+        self.hands.tally.asked += 1;
+        let full = self.hands.len() >= self.start.most_sessions;
+        if full || self.draining {
+            self.hands.tally.over_bound += u64::from(full);
+            self.hands.tally.draining += u64::from(self.draining);
+            self.hands.tally.busy += 1;
+            effects.push(Effect::Answer {
+                sess,
+                answer: Answer::Busy { retry_after: self.start.headend.retry_after },
+            });
+            return;
+        }
+        let patience = want.setup_timeout - self.start.answer_margin;
+        let hand = Hand {
+            group: want.group,
+            // Half of the margin is for what the last SETUP's ending takes to reach the module.
+            answer_by: now + patience + self.start.answer_margin * 0.5,
+            answered: false,
+            left: false,
+            setups: 0,
+            out: None,
+            plays_at: None,
+            rung: self.start.headend.groups.get(want.group.0).map_or_else(Default::default, |g| g.floor),
+        };
+        self.timers.at(hand.answer_by, Timer::Answer(sess));
+        self.hands.insert(sess, hand);
+        let Want { group, title, top, home, copies, .. } = want;
+        news.push(News::Asked(sess, Viewing { group, title, top, home, copies, patience }));
+    }
+
+    fn left(&mut self, sess: Sess, news: &mut Vec<News>, effects: &mut Vec<Effect>) {
+        let Some(hand) = self.hands.get_mut(sess) else { return };
+        if hand.left {
+            return;
+        }
+        hand.left = true;
+        let (unanswered, setups) = (!hand.answered, hand.setups);
+        news.push(News::Left(sess));
+        if let Some(node) = hand.plays_at {
+            effects.push(Effect::Release { sess });
+            news.push(News::Ended(sess, SetupNo(setups.saturating_sub(1)), node, Ending::Played, true));
+            self.hands.remove(sess);
+        } else if hand.out.is_none() {
+            self.hands.remove(sess);
+        }
+        self.hands.tally.left_unanswered += u64::from(unanswered);
+    }
+
+    fn started(
+        &mut self,
+        sess: Sess,
+        setup: SetupNo,
+        load: Option<Load>,
+        news: &mut Vec<News>,
+        effects: &mut Vec<Effect>,
+    ) {
+        let Some(out) = self.out_mut(sess, setup) else {
+            // Its ending was told by ourselves: nobody waits for it.
+            self.hands.tally.too_late += 1;
+            effects.push(Effect::Release { sess });
+            return;
+        };
+        let (node, start) = (out.node, out.started());
+        if let Some(load) = load {
+            news.push(News::Load(node, load));
+        }
+        match start {
+            setups::Start::TooLate(how) => {
+                self.hands.tally.too_late += 1;
+                effects.push(Effect::Release { sess });
+                self.ended(sess, setup, node, how, news);
+            }
+            setups::Start::Plays => {
+                let Some(hand) = self.hands.get_mut(sess) else { return };
+                let rung = hand.rung;
+                (hand.out, hand.plays_at) = (None, Some(node));
+                self.hands.tally.started += 1;
+                news.push(News::Started(sess, setup, node));
+                let answer = Answer::Plays { rung };
+                if self.hands.answer(sess, &answer) {
+                    effects.push(Effect::Answer { sess, answer });
+                } else {
+                    // The guard has answered already, or the viewer is gone.
+                    effects.push(Effect::Release { sess });
+                    news.push(News::Left(sess));
+                    news.push(News::Ended(sess, setup, node, Ending::Cancelled, true));
+                    self.hands.remove(sess);
+                }
+            }
+        }
+    }
+
+    /// The SETUP that was out has ended.
+    fn ended(&mut self, sess: Sess, setup: SetupNo, node: Node, how: Ending, news: &mut Vec<News>) {
+        let Some(hand) = self.hands.get_mut(sess) else { return };
+        hand.out = None;
+        let over = hand.left || hand.answered;
+        if over {
+            self.hands.remove(sess);
+        }
+        let kind = match how {
+            Ending::Full => 0,
+            Ending::Unreachable => 1,
+            Ending::Unsent => 2,
+            Ending::Fault => 3,
+            Ending::Silent => 4,
+            Ending::Lost => 5,
+            Ending::Cancelled | Ending::Played => 6,
+        };
+        self.hands.tally.endings[kind] += 1;
+        news.push(News::Ended(sess, setup, node, how, over));
+    }
+
+    fn due(&mut self, now: Instant, timer: Timer, news: &mut Vec<News>, effects: &mut Vec<Effect>) {
+        match timer {
+            Timer::Wake(ticket) => news.push(News::Woke(ticket)),
+            Timer::Setup(sess, setup) => {
+                let Some(out) = self.out_mut(sess, setup) else { return };
+                if out.withdraw(Withdrawn::OutOfTime) {
+                    effects.push(Effect::Withdraw { sess, setup, if_unsent: false });
+                }
+                // The shell tells in a moment what was written; it is not waited for beyond a part of the
+                // margin that the answer has left.
+                self.timers.at(now + self.start.answer_margin * 0.25, Timer::Withdrawn(sess, setup));
+            }
+            Timer::Withdrawn(sess, setup) => {
+                if let Some(out) = self.out_mut(sess, setup) {
+                    let (node, how) = (out.node, out.ending(Ending::Silent));
+                    self.hands.tally.untold += 1;
+                    self.ended(sess, setup, node, how, news);
+                }
+            }
+            Timer::Answer(sess) => {
+                let waits =
+                    self.hands.get(sess).is_some_and(|h| !h.answered && !h.left && h.answer_by <= now);
+                if waits {
+                    self.hands.tally.guarded += 1;
+                    news.push(News::Left(sess));
+                    let out = self.hands.get_mut(sess).and_then(|hand| hand.out.as_mut());
+                    if let Some(out) = out
+                        && out.withdraw(Withdrawn::ViewerLeft)
+                    {
+                        effects.push(Effect::Withdraw { sess, setup: out.setup, if_unsent: false });
+                    }
+                    if self.hands.answer(sess, &Answer::TornDown) {
+                        effects.push(Effect::Answer { sess, answer: Answer::TornDown });
+                    }
+                }
+            }
+            Timer::Probe(probe) => {
+                if let Some(node) = self.probes.remove(&probe) {
+                    news.push(News::Probed(node, false));
+                }
+            }
+            Timer::Notes => {
+                news.extend(self.notes.take().map(|(node, share)| News::Delivered(node, share)));
+                self.timers.at(now + Span::from_secs(NOTES_EVERY), Timer::Notes);
+            }
+        }
+    }
+}
+
+fn tell(round: &mut Round, roster: &Roster, news: &News) {
+    match *news {
+        News::List => {
+            round.list_whole();
+            for (&node, entry) in roster.nodes() {
+                match entry.standing {
+                    Standing::Ready => round.node_ready(node, entry.place),
+                    Standing::Draining | Standing::Gone => round.node_leaves(node),
+                }
+            }
+            round.list_done();
+        }
+        News::Asked(sess, want) => round.asked(sess, want),
+        News::Left(sess) => round.left(sess),
+        News::Started(sess, setup, node) => round.started(sess, setup, node),
+        News::Ended(sess, setup, node, how, complete) => round.ended(sess, setup, node, how, complete),
+        News::Stays(sess, rung) => round.plays_at(sess, rung),
+        News::Delivered(node, share) => round.delivered(node, share),
+        News::Load(node, load) => {
+            if let Some(link) = load.link {
+                round.link_asked(node, link);
+            }
+            if let Some(uplink) = load.uplink {
+                round.uplink_asked(node, uplink);
+            }
+        }
+        News::Probed(node, answered) => round.probed(node, answered),
+        News::Woke(ticket) => round.woke(ticket),
+    }
+}
--- /dev/null
+++ b/crates/engine/src/timers.rs
@@ -0,0 +1,52 @@
+//! What is due when. Entries that have become moot are not searched for: they are recognised when due.
+
+use std::collections::BTreeSet;
+
+use ashglade::ids::{Sess, SetupNo, Ticket};
+use ashglade::time::Instant;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Timer {
+    /// The module asked to be woken.
+    Wake(Ticket),
+    /// A SETUP has had its time.
+    Setup(Sess, SetupNo),
+    /// A SETUP was withdrawn and its ending has not been told.
+    Withdrawn(Sess, SetupNo),
+    /// A request must have its answer by now.
+    Answer(Sess),
+    Probe(u64),
+    /// Delivered shares are summed up.
+    Notes,
+}
+
+#[derive(Debug, Default)]
+pub struct Timers(BTreeSet<(Instant, Timer)>);
+
+impl Timers {
+    pub fn at(&mut self, at: Instant, timer: Timer) {
+        self.0.insert((at, timer));
+    }
+
+    pub fn next(&self) -> Option<Instant> {
+        self.0.first().map(|&(at, _)| at)
+    }
+
+    /// Takes the earliest that is due, those of one moment in a fixed order.
+    pub fn pop(&mut self, now: Instant) -> Option<Timer> {
+        let &(at, timer) = self.0.first()?;
+        (at <= now).then(|| {
+            self.0.pop_first();
+            timer
+        })
+    }
+
+    /// How many wait: bounded by sessions in hand, probes out and the module's tickets.
+    pub fn len(&self) -> usize {
+        self.0.len()
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.0.is_empty()
+    }
+}
--- /dev/null
+++ b/crates/engine/src/words.rs
@@ -0,0 +1,138 @@
+//! What goes into a round and what comes out of it. Fronts and shells know these words, never the module's insides.
+
+use ashglade::ids::{Cell, Group, Node, Rung, Sess, SetupNo, Title};
+use ashglade::interface::Ending;
+use ashglade::time::{Instant, Span};
+use ashglade_roster::List;
+use serde::{Deserialize, Serialize};
+
+/// What a viewer asks for.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Want {
+    pub group: Group,
+    pub title: Title,
+    /// The highest rung that the viewer can use.
+    pub top: Rung,
+    /// First of the cells in a row that hold the title, and how many.
+    pub home: Cell,
+    pub copies: u16,
+    /// From now, how long until the viewer gives up.
+    pub setup_timeout: Span,
+}
+
+/// What a node tells of its load: link, uplink, streams, each where told.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Load {
+    pub link: Option<f64>,
+    pub uplink: Option<f64>,
+    pub streams: Option<f64>,
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Input {
+    /// A whole box list, as it was read.
+    List(List),
+    /// A viewer asks for a session. `sess` is new.
+    Asked {
+        sess: Sess,
+        want: Want,
+    },
+    /// The viewer gave up, ended the session or was lost.
+    Left {
+        sess: Sess,
+    },
+    /// From here on a SETUP may have run: its first byte is about to be written.
+    Written {
+        sess: Sess,
+        setup: SetupNo,
+    },
+    /// The node accepted the SETUP.
+    Started {
+        sess: Sess,
+        setup: SetupNo,
+        load: Option<Load>,
+    },
+    /// The SETUP came to nothing. Told exactly once for each SETUP that did not start.
+    Ended {
+        sess: Sess,
+        setup: SetupNo,
+        how: Ending,
+        load: Option<Load>,
+    },
+    /// A session that played is over at its node.
+    Over {
+        sess: Sess,
+        how: Ending,
+    },
+    /// The rung in force at the node, where a change of rung did not come about.
+    Stays {
+        sess: Sess,
+        rung: Rung,
+    },
+    /// The share of what was due that a playing session got since the last word of it.
+    Flow {
+        sess: Sess,
+        share: f64,
+    },
+    Load {
+        node: Node,
+        load: Load,
+    },
+    /// A probe's answer, or none.
+    Probed {
+        probe: u64,
+        load: Option<Load>,
+    },
+    /// Takes nothing new from here on.
+    Drain,
+}
+
+/// The one answer to a request.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Answer {
+    Plays { rung: Rung },
+    Busy { retry_after: Option<Span> },
+    TornDown,
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Effect {
+    /// Send this SETUP to the node and tell how it ended, by `until` or when it is withdrawn.
+    Setup {
+        sess: Sess,
+        setup: SetupNo,
+        node: Node,
+        rung: Rung,
+        until: Instant,
+    },
+    /// Give the SETUP up and tell how it ended; where `if_unsent`, only if not a byte of it was written.
+    Withdraw {
+        sess: Sess,
+        setup: SetupNo,
+        if_unsent: bool,
+    },
+    Answer {
+        sess: Sess,
+        answer: Answer,
+    },
+    /// A playing session changes its rung.
+    Rung {
+        sess: Sess,
+        rung: Rung,
+    },
+    /// Tear the session down at its node, if it is there; nobody holds it here any longer.
+    Release {
+        sess: Sess,
+    },
+    Probe {
+        probe: u64,
+        node: Node,
+    },
+    /// A list was taken, with the generation now in force, or left out and why.
+    Listed {
+        generation: u64,
+        refused: Option<String>,
+    },
+    /// Nothing is in hand any longer, and nothing new is taken.
+    Drained,
+}
--- /dev/null
+++ b/crates/lab/src/bench.rs
@@ -0,0 +1,89 @@
+//! Turns a day that the bench drew into one that is played on sockets: its troubles with their names, times and
+//! sizes, on a fleet that one machine can carry.
+
+use std::fmt::Write as _;
+use std::path::Path;
+
+use serde::Deserialize;
+
+/// What is read of the bench's day file; times there are in microseconds.
+#[derive(Deserialize)]
+struct Drawn {
+    length: f64,
+    servers: Vec<serde::de::IgnoredAny>,
+    balancers: Vec<serde::de::IgnoredAny>,
+    #[serde(default)]
+    troubles: Vec<DrawnTrouble>,
+}
+
+#[derive(Deserialize)]
+struct DrawnTrouble {
+    kind: String,
+    at: f64,
+    len: f64,
+    #[serde(default)]
+    size: f64,
+    #[serde(default)]
+    on: Vec<u32>,
+}
+
+/// Most that are played on one machine.
+const MOST_NODES: usize = 16;
+const MOST_DIRECTORS: usize = 4;
+
+pub fn convert(path: &Path) -> Result<String, String> {
+    let text = std::fs::read_to_string(path).map_err(|e| format!("{}: {e}", path.display()))?;
+    let drawn: Drawn = serde_json::from_str(&text).map_err(|e| format!("{}: {e}", path.display()))?;
+    let nodes = drawn.servers.len().clamp(1, MOST_NODES);
+    let directors = drawn.balancers.len().clamp(1, MOST_DIRECTORS);
+    let template = include_str!("../../../days/bad-day.txtpb");
+    // Settings, viewers and lists are those of the day that is kept here; fleet and troubles are the drawn ones.
+    let mut day = String::new();
+    let mut skip = 0usize;
+    for line in template.lines() {
+        let begins = ["trouble {", "nodes {", "directors:", "seconds:"].iter().any(|p| line.starts_with(p));
+        if begins && line.contains('{') && !line.contains('}') {
+            skip += 1;
+        }
+        if skip == 0 && !begins {
+            day += line;
+            day.push('\n');
+        }
+        if skip > 0 && line.starts_with('}') {
+            skip -= 1;
+        }
+    }
+    let seconds = drawn.length / 1e6;
+    let mut write = |line: std::fmt::Arguments| {
+        let _ = writeln!(day, "{line}");
+    };
+    write(format_args!("seconds: {seconds:.1}"));
+    write(format_args!("directors: {directors}"));
+    write(format_args!("nodes {{ count: {nodes} model: \"small\" weight: 1 guard: true }}"));
+    for trouble in &drawn.troubles {
+        let (at, len) = (trouble.at / 1e6, trouble.len / 1e6);
+        let known = crate::day::Kind::from_str_name(&trouble.kind).is_some();
+        if !known {
+            write(format_args!("# {} at {at:.1} s has no counterpart on sockets", trouble.kind));
+            continue;
+        }
+        let (of, size) = match trouble.kind.as_str() {
+            "origin_slow" => (2, trouble.size),
+            "balancer_roll" | "balancer_stall" | "peer_down" => (directors, len.min(2.0)),
+            "ageing" => (nodes, 2000.0),
+            "discovery_stale" => (nodes, trouble.size / 1e6),
+            _ => (nodes, trouble.size),
+        };
+        let mut on: Vec<u32> = trouble.on.iter().map(|i| i % of as u32).collect();
+        on.sort_unstable();
+        on.dedup();
+        if on.is_empty() && trouble.kind != "burst" && trouble.kind != "discovery_stale" {
+            // The bench draws a part of the fleet as it goes: a fifth of ours.
+            on = (0..of.div_ceil(5) as u32).collect();
+        }
+        let on: String = on.iter().map(|i| format!(" on: {i}")).collect();
+        let kind = &trouble.kind;
+        write(format_args!("trouble {{ kind: {kind} at_s: {at:.2} for_s: {len:.2} size: {size:.3}{on} }}"));
+    }
+    Ok(day)
+}
--- /dev/null
+++ b/crates/lab/src/day.rs
@@ -0,0 +1,87 @@
+//! Reading a day file and checking it.
+
+use std::path::Path;
+
+use ashglade_settings::text::{self, Source, Trouble};
+
+/// The schema as generated types.
+pub mod schema {
+    #![allow(clippy::all)]
+    include!(concat!(env!("OUT_DIR"), "/ashglade.day.rs"));
+}
+
+pub use schema::{Day, Kind};
+
+pub const SCHEMA: &[u8] = include_bytes!(concat!(env!("OUT_DIR"), "/schema.bin"));
+
+/// Reads a day; what is left out gets its usual value, what can't be played is an error.
+pub fn read(path: &Path) -> Result<Day, String> {
+    let text = std::fs::read_to_string(path).map_err(|e| format!("{}: {e}", path.display()))?;
+    parse(&path.display().to_string(), &text).map_err(|e| e.to_string())
+}
+
+pub fn parse(file: &str, text: &str) -> Result<Day, Trouble> {
+    let (mut day, at) = text::read::<Day>(SCHEMA, "ashglade.day.Day", file, text)?;
+    at.need("seed", day.seed)?;
+    at.within("seconds", day.seconds, 1.0, 3600.0)?;
+    let directors = at.within("directors", day.directors.map(f64::from), 1.0, 32.0)?;
+    at.within("drain_grace_ms", day.drain_grace_ms, 0.0, 60_000.0)?;
+    day.slack_ms = Some(at.within("slack_ms", Some(day.slack_ms.unwrap_or(60.0)), 0.0, 10_000.0)?);
+    let headend = at.need("headend", day.headend.as_ref())?;
+    if day.nodes.is_empty() {
+        return Err(at.trouble("nodes", "is left out; one kind at least is wanted"));
+    }
+    let models: Vec<String> = headend.model.iter().filter_map(|m| m.name.clone()).collect();
+    for (i, nodes) in day.nodes.iter().enumerate() {
+        let field = |name: &str| format!("nodes[{i}].{name}");
+        at.within(&field("count"), nodes.count.map(f64::from), 1.0, 500.0)?;
+        at.within(&field("weight"), nodes.weight, 1e-3, 1e6)?;
+        at.one_of(&field("model"), nodes.model.as_deref().unwrap_or_default(), &models)?;
+    }
+    let viewers = at.need("viewers", day.viewers.as_ref())?;
+    at.within("viewers.rate", viewers.rate, 0.01, 1e4)?;
+    let from = at.within("viewers.watch_from_s", viewers.watch_from_s, 0.1, 3600.0)?;
+    at.within("viewers.watch_to_s", viewers.watch_to_s, from, 3600.0)?;
+    for (name, part) in [("impatient", viewers.impatient), ("small_screens", viewers.small_screens)] {
+        at.within(&format!("viewers.{name}"), Some(part.unwrap_or(0.0)), 0.0, 1.0)?;
+    }
+    at.within("viewers.rejoin_ms", viewers.rejoin_ms, 1.0, 60_000.0)?;
+    if !viewers.group_share.is_empty() && viewers.group_share.len() != headend.group.len() {
+        return Err(at.trouble("viewers.group_share", "must have as many shares as there are service groups"));
+    }
+    let lists = at.need("lists", day.lists.as_ref())?;
+    at.within("lists.notice_ms", lists.notice_ms, 0.0, 60_000.0)?;
+    at.within("lists.silent_notice_ms", lists.silent_notice_ms, 0.0, 60_000.0)?;
+    let nodes: f64 = day.nodes.iter().filter_map(|n| n.count).map(f64::from).sum();
+    let racks = headend.links.as_ref().and_then(|l| l.racks).map_or(1.0, f64::from);
+    for (i, trouble) in day.trouble.iter().enumerate() {
+        check(&at, i, trouble, (nodes, racks, directors))?;
+    }
+    Ok(day)
+}
+
+fn check(at: &Source, i: usize, trouble: &schema::Trouble, of: (f64, f64, f64)) -> Result<(), Trouble> {
+    let field = |name: &str| format!("trouble[{i}].{name}");
+    at.within(&field("at_s"), trouble.at_s, 0.0, 3600.0)?;
+    at.within(&field("for_s"), trouble.for_s, 0.0, 3600.0)?;
+    let (from, to) = match trouble.kind() {
+        Kind::Unset => return Err(at.trouble(&field("kind"), "is left out")),
+        Kind::FastErrors | Kind::Reset => (0.0, 1.0),
+        Kind::Slow | Kind::Neighbour | Kind::OriginSlow | Kind::Burst => (1.0, 100.0),
+        Kind::Ageing | Kind::SlowSetup => (1.0, 60_000.0),
+        Kind::DiscoveryStale | Kind::BalancerRoll => (0.0, 600.0),
+        _ => (f64::MIN, f64::MAX),
+    };
+    if from != f64::MIN {
+        at.within(&field("size"), trouble.size, from, to)?;
+    }
+    let most = match trouble.kind() {
+        Kind::OriginSlow => of.1,
+        Kind::BalancerRoll | Kind::BalancerStall | Kind::PeerDown => of.2,
+        _ => of.0,
+    };
+    for (k, &on) in trouble.on.iter().enumerate() {
+        at.within(&format!("trouble[{i}].on[{k}]"), Some(f64::from(on)), 0.0, most - 1.0)?;
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/lab/src/directors.rs
@@ -0,0 +1,137 @@
+//! Directors as processes of their own, each with settings and a box list of its own.
+
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::sync::Mutex;
+
+use ashglade_judge::What;
+use ashglade_settings::schema::headend as schema;
+use ashglade_standin::Log;
+use nix::sys::signal::{Signal, kill};
+use nix::unistd::Pid;
+use prost_reflect::{DescriptorPool, DynamicMessage, ReflectMessage as _};
+use tokio::process::{Child, Command};
+
+use crate::day::{Day, SCHEMA};
+
+pub struct Directors {
+    /// Number, address and folder.
+    pub all: Vec<(u16, SocketAddr, PathBuf)>,
+    running: Mutex<Vec<Option<Child>>>,
+    log: Log,
+}
+
+impl Directors {
+    /// Writes settings for each director; none is started yet.
+    pub fn prepare(day: &Day, out: &Path, log: Log) -> Result<Directors, String> {
+        let count = day.directors.unwrap_or(1) as u16;
+        // Held until all have one, so that no two get the same.
+        let ports: Vec<std::net::TcpListener> = (0..count)
+            .map(|_| std::net::TcpListener::bind(("127.0.0.1", 0)))
+            .collect::<Result<_, _>>()
+            .map_err(|e| format!("no port on loopback: {e}"))?;
+        let mut all = Vec::new();
+        for (number, port) in (0..count).zip(&ports) {
+            let address = port.local_addr().map_err(|e| e.to_string())?;
+            let folder = out.join(format!("director-{number}"));
+            std::fs::create_dir_all(&folder).map_err(|e| format!("{}: {e}", folder.display()))?;
+            let mut headend = day.headend.clone().unwrap_or_default();
+            let zone = headend.zone.get(usize::from(number) % headend.zone.len().max(1)).cloned();
+            headend.director = Some(schema::Director {
+                number: Some(number.into()),
+                directors: Some(count.into()),
+                zone,
+                seed: Some(day.seed.unwrap_or(0) + u64::from(number)),
+            });
+            headend.front.get_or_insert_default().listen = Some(address.to_string());
+            headend.box_list = Some("boxes.txtpb".into());
+            let text = write(&headend)?;
+            let path = folder.join("headend.txtpb");
+            std::fs::write(&path, text).map_err(|e| format!("{}: {e}", path.display()))?;
+            all.push((number, address, folder));
+        }
+        let running = Mutex::new(all.iter().map(|_| None).collect());
+        Ok(Directors { all, running, log })
+    }
+
+    pub fn settings(&self, number: u16) -> Option<PathBuf> {
+        Some(self.all.get(usize::from(number))?.2.join("headend.txtpb"))
+    }
+
+    /// Starts a director, and waits until it listens.
+    pub async fn start(&self, number: u16, record: bool) -> Result<(), String> {
+        let Some((_, address, folder)) = self.all.get(usize::from(number)) else { return Ok(()) };
+        let program = std::env::current_exe().map_err(|e| e.to_string())?;
+        let path = folder.join("log.txt");
+        let log = std::fs::OpenOptions::new().create(true).append(true).open(&path);
+        let log = log.map_err(|e| format!("{}: {e}", path.display()))?;
+        let mut command = Command::new(program);
+        command.arg("director").arg("--settings").arg(folder.join("headend.txtpb"));
+        if record {
+            command.arg("--record").arg(folder.join("rounds.jsonl"));
+        }
+        let child = command.stderr(log).kill_on_drop(true).spawn().map_err(|e| e.to_string())?;
+        self.put(number, Some(child));
+        for _ in 0..200 {
+            if tokio::net::TcpStream::connect(address).await.is_ok() {
+                return Ok(());
+            }
+            tokio::time::sleep(std::time::Duration::from_millis(25)).await;
+        }
+        Err(format!("director {number} does not listen; see {}", path.display()))
+    }
+
+    fn put(&self, number: u16, child: Option<Child>) -> Option<Child> {
+        let mut running = self.running.lock().unwrap_or_else(|broken| broken.into_inner());
+        std::mem::replace(running.get_mut(usize::from(number))?, child)
+    }
+
+    fn signal(&self, number: u16, signal: Signal) {
+        let running = self.running.lock().unwrap_or_else(|broken| broken.into_inner());
+        let pid = running.get(usize::from(number)).and_then(|child| child.as_ref()?.id());
+        if let Some(pid) = pid {
+            let _ = kill(Pid::from_raw(pid as i32), signal);
+        }
+    }
+
+    /// Kills a director outright.
+    pub async fn kill(&self, number: u16) {
+        if let Some(mut child) = self.put(number, None) {
+            self.log.saw(What::DirectorKilled { director: number });
+            let _ = child.kill().await;
+        }
+    }
+
+    pub fn pause(&self, number: u16) {
+        self.signal(number, Signal::SIGSTOP);
+    }
+
+    pub fn resume(&self, number: u16, from: f64) {
+        self.signal(number, Signal::SIGCONT);
+        self.log.saw(What::DirectorStood { director: number, from });
+    }
+
+    /// Tells all to stop and waits; true if each ended by itself and well.
+    pub async fn stop(&self, within: std::time::Duration) -> bool {
+        let mut well = true;
+        for &(number, ..) in &self.all {
+            self.signal(number, Signal::SIGTERM);
+        }
+        for &(number, ..) in &self.all {
+            if let Some(mut child) = self.put(number, None) {
+                let ended = tokio::time::timeout(within, child.wait()).await;
+                well &= matches!(ended, Ok(Ok(status)) if status.success());
+            }
+        }
+        well
+    }
+}
+
+fn write(headend: &schema::Headend) -> Result<String, String> {
+    let pool = DescriptorPool::decode(SCHEMA).map_err(|e| e.to_string())?;
+    let kind = pool.get_message_by_name("ashglade.headend.Headend").ok_or("no schema of the headend")?;
+    let mut message = DynamicMessage::new(kind);
+    message.transcode_from(headend).map_err(|e| e.to_string())?;
+    debug_assert_eq!(message.descriptor().name(), "Headend");
+    Ok(message.to_text_format_with_options(&prost_reflect::text_format::FormatOptions::new().pretty(true)))
+}
--- /dev/null
+++ b/crates/lab/src/main.rs
@@ -0,0 +1,114 @@
+//! `ashglade-lab`: plays days against real directors on loopback and has them judged.
+
+mod bench;
+mod day;
+mod directors;
+mod lists;
+mod play;
+mod trouble;
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::sync::atomic::Ordering;
+
+use ashglade_director::Options;
+use clap::{Parser, Subcommand};
+
+#[derive(Parser)]
+#[command(name = "ashglade-lab", version, about = "Plays days against real directors and judges them")]
+struct Args {
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Subcommand)]
+enum Command {
+    /// Plays a day; exits 0 only if all six rules held.
+    Day {
+        file: PathBuf,
+        /// Where settings, logs, traffic and report are put.
+        #[arg(long, default_value = "target/day")]
+        out: PathBuf,
+        /// Directors write their rounds, for `ashglade replay`.
+        #[arg(long)]
+        record: bool,
+        #[arg(long)]
+        quiet: bool,
+    },
+    /// Judges recorded traffic again.
+    Judge { traffic: PathBuf },
+    /// Writes a day file, scaled to one machine, with the troubles of a day that the bench drew.
+    FromBench { day: PathBuf },
+    /// One director, as the lab starts it.
+    #[command(hide = true)]
+    Director {
+        #[arg(long)]
+        settings: PathBuf,
+        #[arg(long)]
+        record: Option<PathBuf>,
+    },
+}
+
+fn main() -> ExitCode {
+    let done = match Args::parse().command {
+        Command::Day { file, out, record, quiet } => run(play_day(file, out, record, quiet)),
+        Command::Judge { traffic } => judge(&traffic),
+        Command::FromBench { day } => bench::convert(&day).map(|text| {
+            print!("{text}");
+            true
+        }),
+        Command::Director { settings, record } => {
+            tracing_subscriber::fmt().with_ansi(false).with_writer(std::io::stderr).init();
+            run(async {
+                ashglade_director::serve(Options { settings, record }).await.map_err(|e| e.to_string())
+            })
+            .map(|()| true)
+        }
+    };
+    match done {
+        Ok(true) => ExitCode::SUCCESS,
+        Ok(false) => ExitCode::FAILURE,
+        Err(error) => {
+            eprintln!("ashglade-lab: {error}");
+            ExitCode::from(2)
+        }
+    }
+}
+
+fn run<T>(work: impl Future<Output = Result<T, String>>) -> Result<T, String> {
+    let runtime = tokio::runtime::Runtime::new().map_err(|e| e.to_string())?;
+    let done = runtime.block_on(work);
+    runtime.shutdown_background();
+    done
+}
+
+async fn play_day(file: PathBuf, out: PathBuf, record: bool, quiet: bool) -> Result<bool, String> {
+    let day = day::read(&file)?;
+    let played = play::play(&day, &out, record, quiet).await?;
+    let media = &played.media;
+    let count = |n: &std::sync::atomic::AtomicU64| n.load(Ordering::Relaxed);
+    let report = format!(
+        "{}media   {} packets, {} of another SSRC, {} steps back in the sequence, {} breaks\norphans {} sessions left \
+         at nodes; directors {}\n",
+        played.verdict,
+        count(&media.packets),
+        count(&media.foreign),
+        count(&media.backward),
+        count(&media.breaks),
+        played.orphans,
+        if played.ended_well { "ended well" } else { "did not end well" },
+    );
+    print!("{report}");
+    let path = out.join("report.txt");
+    std::fs::write(&path, &report).map_err(|e| format!("{}: {e}", path.display()))?;
+    let continuous = count(&media.foreign) == 0 && count(&media.backward) == 0;
+    Ok(played.verdict.held() && played.orphans == 0 && played.ended_well && continuous)
+}
+
+fn judge(path: &std::path::Path) -> Result<bool, String> {
+    let text = std::fs::read_to_string(path).map_err(|e| format!("{}: {e}", path.display()))?;
+    let traffic = ashglade_judge::Traffic::read(&text).map_err(|e| format!("{}: {e}", path.display()))?;
+    let verdict = ashglade_judge::judge(&traffic);
+    print!("{verdict}");
+    Ok(verdict.held())
+}
--- /dev/null
+++ b/crates/lab/src/play.rs
@@ -0,0 +1,309 @@
+//! Plays a day: nodes and viewers in this process, each director in one of its own.
+
+use std::net::SocketAddr;
+use std::path::Path;
+use std::sync::Arc;
+use std::time::Duration;
+
+use ashglade::ids::{Cell, Model, Zone};
+use ashglade::interface::Place;
+use ashglade_judge::{self as judge, Plan, Traffic, Verdict};
+use ashglade_roster::{Entry, Standing};
+use ashglade_settings::Settings;
+use ashglade_standin::node::ColdPace;
+use ashglade_standin::viewer::{self, Media, Script};
+use ashglade_standin::{Fleet, Log, Spec};
+use tokio::task::JoinSet;
+use tokio::time::Instant;
+
+use crate::day::{Day, Kind};
+use crate::directors::Directors;
+use crate::lists::Lists;
+use crate::trouble;
+
+/// What came of a day.
+pub struct Played {
+    pub verdict: Verdict,
+    pub media: Arc<Media>,
+    /// Sessions that nodes still held after all viewers and directors had gone.
+    pub orphans: usize,
+    /// Directors ended by themselves and well.
+    pub ended_well: bool,
+}
+
+/// What all parts of a day share.
+pub struct Stage {
+    pub fleet: Arc<Fleet>,
+    pub directors: Directors,
+    pub lists: Lists,
+    pub log: Log,
+    pub notice: Duration,
+    pub silent_notice: Duration,
+}
+
+pub async fn play(day: &Day, out: &Path, record: bool, quiet: bool) -> Result<Played, String> {
+    std::fs::create_dir_all(out).map_err(|e| format!("{}: {e}", out.display()))?;
+    let headend = day.headend.clone().unwrap_or_default();
+    let plan_of = |settings: &Settings| plan(day, settings);
+    // The settings are checked as a director reads them, before anything starts.
+    let probe = Directors::prepare(day, out, scratch(out)?)?;
+    let path = probe.settings(0).ok_or("a day needs a director")?;
+    let text = std::fs::read_to_string(&path).map_err(|e| e.to_string())?;
+    let settings =
+        ashglade_settings::settings(&path.display().to_string(), &text).map_err(|e| e.to_string())?;
+    drop(probe);
+    let plan = plan_of(&settings);
+    let traffic = out.join("traffic.jsonl");
+    let log = Log::create(&traffic, &plan).map_err(|e| format!("{}: {e}", traffic.display()))?;
+
+    let (specs, entries) = nodes(day, &settings);
+    let head = &settings.headend;
+    let uplink = if head.uplink > 0.0 { head.uplink } else { f64::INFINITY };
+    let cold = ColdPace {
+        from: head.cold_from,
+        warm_after: head.warm_after.as_ms() / 1e3,
+        multiple: head.fall_multiple,
+        span: head.fall_span.as_ms() / 1e3,
+    };
+    let ladder = head.ladder.iter().map(|&(kb, _)| kb).collect();
+    let seed = day.seed.unwrap_or(0);
+    let fleet = Fleet::start(specs, vec![uplink; head.racks.into()], ladder, cold, seed, log.clone()).await;
+    let fleet = fleet.map_err(|e| format!("the nodes' listeners: {e}"))?;
+    let entries =
+        fleet.nodes.iter().zip(entries).map(|(node, entry)| Entry { address: node.address, ..entry });
+    let entries: Vec<Entry> = entries.collect();
+
+    let directors = Directors::prepare(day, out, log.clone())?;
+    let folders = directors.all.iter().map(|(.., folder)| folder.clone()).collect();
+    let lists = Lists::new(settings.names.clone(), log.clone(), folders, entries);
+    lists.write_all().map_err(|e| format!("the box lists: {e}"))?;
+    for &(number, ..) in &directors.all {
+        directors.start(number, record).await?;
+    }
+    let told = day.lists.unwrap_or_default();
+    let ms = |value: Option<f64>| Duration::from_secs_f64(value.unwrap_or(0.0) / 1e3);
+    let stage = Arc::new(Stage {
+        fleet,
+        directors,
+        lists,
+        log: log.clone(),
+        notice: ms(told.notice_ms),
+        silent_notice: ms(told.silent_notice_ms),
+    });
+
+    let begun = Instant::now();
+    let media = Arc::new(Media::default());
+    let mut troubles = JoinSet::new();
+    for trouble in &day.trouble {
+        troubles.spawn(trouble::cause(stage.clone(), trouble.clone(), begun, record));
+    }
+    let scripts = scripts(day, &settings, &headend, &stage.directors.all);
+    let total = scripts.len();
+    let mut viewers = JoinSet::new();
+    let mut shown = begun;
+    for (at, script) in scripts {
+        tokio::time::sleep_until(begun + at).await;
+        viewers.spawn(viewer::run(script, log.clone(), media.clone()));
+        if !quiet && shown.elapsed() >= Duration::from_secs(5) {
+            shown = Instant::now();
+            progress(begun.elapsed(), &judged(&plan, &log), viewers.len());
+        }
+    }
+    while viewers.join_next().await.is_some() {
+        if !quiet && shown.elapsed() >= Duration::from_secs(5) {
+            shown = Instant::now();
+            progress(begun.elapsed(), &judged(&plan, &log), viewers.len());
+        }
+    }
+    while let Some(caused) = troubles.join_next().await {
+        caused.map_err(|e| e.to_string())??;
+    }
+    let drain = settings.front.drain + Duration::from_secs(2);
+    let ended_well = stage.directors.stop(drain).await;
+    let orphans = settle(&stage.fleet).await;
+    let verdict = judged(&plan, &log);
+    if !quiet {
+        println!("{total} viewers in {:.1} s", begun.elapsed().as_secs_f64());
+    }
+    Ok(Played { verdict, media, orphans, ended_well })
+}
+
+/// Waits a moment for nodes to notice that connections are closed; the sessions that are left.
+async fn settle(fleet: &Fleet) -> usize {
+    let held = || fleet.nodes.iter().map(|node| node.held()).sum::<usize>();
+    for _ in 0..40 {
+        if held() == 0 {
+            break;
+        }
+        tokio::time::sleep(Duration::from_millis(25)).await;
+    }
+    held()
+}
+
+fn progress(at: Duration, verdict: &Verdict, present: usize) {
+    let counts = verdict.findings.first().map_or("", |f| f.counts.as_str());
+    println!("{:5.1} s  {present} viewers present; {counts}", at.as_secs_f64());
+}
+
+fn judged(plan: &Plan, log: &Log) -> Verdict {
+    let mut sights = log.sights();
+    sights.sort_by(|a, b| a.at.total_cmp(&b.at));
+    judge::judge(&Traffic { plan: plan.clone(), sights })
+}
+
+fn scratch(out: &Path) -> Result<Log, String> {
+    let empty = Plan {
+        groups: Vec::new(),
+        nodes: Vec::new(),
+        drain_grace: 0.0,
+        cold_from: 0.0,
+        warm_after: 0.0,
+        fall_multiple: 0.0,
+        fall_span: 0.0,
+        ration: None,
+        slack: 0.0,
+    };
+    Log::create(&out.join("traffic.jsonl"), &empty).map_err(|e| e.to_string())
+}
+
+/// Nodes one after the other over zones and cells.
+fn nodes(day: &Day, settings: &Settings) -> (Vec<Spec>, Vec<Entry>) {
+    let head = &settings.headend;
+    let (mut specs, mut entries) = (Vec::new(), Vec::new());
+    for kind in &day.nodes {
+        let model = settings.names.models.iter().position(|m| Some(m) == kind.model.as_ref()).unwrap_or(0);
+        for _ in 0..kind.count.unwrap_or(0) {
+            let i = specs.len();
+            let cell = (i % usize::from(head.cells)) as u16;
+            let weight = kind.weight.unwrap_or(1.0);
+            let name = format!("node-{i}");
+            specs.push(Spec {
+                name: name.clone(),
+                rack: usize::from(cell) % usize::from(head.racks),
+                places: head.places.get(model).map_or(1, |&p| p as usize),
+                link: weight * head.link_unit,
+                guard: kind.guard.unwrap_or(false),
+            });
+            let zone = Zone((i % settings.names.zones.len()) as u8);
+            let place = Place { zone, model: Model(model as u8), cell: Cell(cell), weight, started: None };
+            let address: SocketAddr = ([127, 0, 0, 1], 0).into();
+            entries.push(Entry { name, address, place, standing: Standing::Ready });
+        }
+    }
+    (specs, entries)
+}
+
+fn plan(day: &Day, settings: &Settings) -> Plan {
+    use ashglade::interface::{Care, Reach};
+    let head = &settings.headend;
+    let groups = head.groups.iter().zip(&settings.group_names).map(|(group, name)| judge::Group {
+        name: name.clone(),
+        utility: group.utility,
+        start_target: group.start_target.as_ms(),
+        care: match group.care {
+            Care::Safe => judge::Care::Safe,
+            Care::Dedup => judge::Care::Dedup,
+            Care::Fragile => judge::Care::Fragile,
+        },
+        reach: match group.reach {
+            Reach::Anywhere => judge::Reach::Anywhere,
+            Reach::SameZone => judge::Reach::SameZone,
+            Reach::SameCell => judge::Reach::SameCell,
+        },
+        repeat_window: group.repeat_window.as_ms(),
+        floor: group.floor.0,
+        seats: group.seats,
+    });
+    let (specs, entries) = nodes(day, settings);
+    let nodes = specs.iter().zip(&entries).map(|(spec, entry)| judge::Node {
+        name: spec.name.clone(),
+        places: spec.places as f64,
+        zone: entry.place.zone.0,
+        cell: entry.place.cell.0,
+    });
+    Plan {
+        groups: groups.collect(),
+        nodes: nodes.collect(),
+        drain_grace: day.drain_grace_ms.unwrap_or(0.0),
+        cold_from: head.cold_from,
+        warm_after: head.warm_after.as_ms(),
+        fall_multiple: head.fall_multiple,
+        fall_span: head.fall_span.as_ms(),
+        ration: head.ration.map(|r| (r.free, r.per_session, r.span.as_ms())),
+        slack: day.slack_ms.unwrap_or(60.0),
+    }
+}
+
+/// All viewers of the day with the time at which each comes, drawn from the seed alone.
+fn scripts(
+    day: &Day,
+    settings: &Settings,
+    headend: &ashglade_settings::schema::headend::Headend,
+    directors: &[(u16, SocketAddr, std::path::PathBuf)],
+) -> Vec<(Duration, Script)> {
+    let viewers = day.viewers.clone().unwrap_or_default();
+    let mut random = oorandom::Rand64::new(day.seed.unwrap_or(0).into());
+    let titles: Vec<String> = headend.title.iter().filter_map(|t| t.name.clone()).collect();
+    let wanted: Vec<f64> =
+        (1..=titles.len()).map(|k| (k as f64).powf(-viewers.title_zipf.unwrap_or(0.0))).collect();
+    let shares = match viewers.group_share.is_empty() {
+        true => vec![1.0; settings.group_names.len()],
+        false => viewers.group_share.clone(),
+    };
+    let bursts: Vec<(f64, f64, f64)> = day
+        .trouble
+        .iter()
+        .filter(|t| t.kind() == Kind::Burst)
+        .map(|t| {
+            (t.at_s.unwrap_or(0.0), t.at_s.unwrap_or(0.0) + t.for_s.unwrap_or(0.0), t.size.unwrap_or(1.0))
+        })
+        .collect();
+    let top = settings.top_rung();
+    let mut scripts = Vec::new();
+    let mut at = 0.0;
+    loop {
+        let factor: f64 = bursts.iter().filter(|(a, b, _)| *a <= at && at < *b).map(|b| b.2).product();
+        at += -(1.0 - random.rand_float()).ln() / (viewers.rate.unwrap_or(1.0) * factor);
+        if at >= day.seconds.unwrap_or(0.0) {
+            return scripts;
+        }
+        let group = pick(&mut random, &shares);
+        let title = pick(&mut random, &wanted);
+        let timeout = Duration::from_secs_f64(settings.setup_timeouts[group].as_ms() / 1e3);
+        let (from, to) = (viewers.watch_from_s.unwrap_or(1.0), viewers.watch_to_s.unwrap_or(1.0));
+        let watch = Duration::from_secs_f64(from + (to - from) * random.rand_float());
+        let small = random.rand_float() < viewers.small_screens.unwrap_or(0.0);
+        let leaves = random.rand_float() < viewers.impatient.unwrap_or(0.0);
+        let leaves_after = timeout.mul_f64(0.1 * random.rand_float());
+        let first = random.rand_range(0..directors.len().max(1) as u64) as usize;
+        let mut mine: Vec<(u16, SocketAddr)> = directors.iter().map(|&(n, a, _)| (n, a)).collect();
+        mine.rotate_left(first);
+        let rejoin = viewers.rejoin_ms.unwrap_or(1000.0) * (0.5 + 0.5 * random.rand_float());
+        scripts.push((
+            Duration::from_secs_f64(at),
+            Script {
+                id: scripts.len() as u64,
+                directors: mine,
+                group: settings.group_names[group].clone(),
+                title: titles[title].clone(),
+                top: if small { top / 2 } else { top },
+                setup_timeout: timeout,
+                watch,
+                leaves_after: leaves.then_some(leaves_after),
+                returns: viewers.returns.unwrap_or(0),
+                rejoin: Duration::from_secs_f64(rejoin / 1e3),
+            },
+        ));
+    }
+}
+
+fn pick(random: &mut oorandom::Rand64, weights: &[f64]) -> usize {
+    let mut left = random.rand_float() * weights.iter().sum::<f64>();
+    for (i, weight) in weights.iter().enumerate() {
+        left -= weight;
+        if left < 0.0 {
+            return i;
+        }
+    }
+    weights.len().saturating_sub(1)
+}
--- /dev/null
+++ b/crates/lab/src/trouble.rs
@@ -0,0 +1,159 @@
+//! What goes wrong, by the bench's names, brought about on real sockets and processes.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use ashglade_roster::Standing;
+use ashglade_standin::Faults;
+use tokio::time::Instant;
+
+use crate::day::Kind;
+use crate::day::schema::Trouble;
+use crate::play::Stage;
+
+/// Causes one trouble, from its beginning to its end.
+pub async fn cause(stage: Arc<Stage>, trouble: Trouble, begun: Instant, record: bool) -> Result<(), String> {
+    let span = Duration::from_secs_f64(trouble.for_s.unwrap_or(0.0));
+    let size = trouble.size.unwrap_or(0.0);
+    let kind = trouble.kind();
+    tokio::time::sleep_until(begun + Duration::from_secs_f64(trouble.at_s.unwrap_or(0.0))).await;
+    let all = match kind {
+        Kind::OriginSlow => stage.fleet.nodes.iter().map(|n| n.spec.rack + 1).max().unwrap_or(0),
+        Kind::BalancerRoll | Kind::BalancerStall | Kind::PeerDown => stage.directors.all.len(),
+        _ => stage.fleet.nodes.len(),
+    };
+    let on: Vec<usize> = match trouble.on.is_empty() {
+        true => (0..all).collect(),
+        false => trouble.on.iter().map(|&i| i as usize).collect(),
+    };
+    let faults = |change: fn(&mut Faults, f64), size: f64| {
+        on.iter().for_each(|&i| stage.fleet.set(i, |faults| change(faults, size)));
+    };
+    match kind {
+        // Viewers are drawn with it.
+        Kind::Unset | Kind::Burst => {}
+        Kind::AnswerLost => {
+            faults(|f, _| f.answer_lost = true, size);
+            tokio::time::sleep(span).await;
+            faults(|f, _| f.answer_lost = false, size);
+        }
+        Kind::Hang => {
+            faults(|f, _| f.hang = true, size);
+            tokio::time::sleep(span).await;
+            faults(|f, _| f.hang = false, size);
+        }
+        Kind::FastErrors => {
+            faults(|f, size| f.errors = size, size);
+            tokio::time::sleep(span).await;
+            faults(|f, _| f.errors = 0.0, size);
+        }
+        Kind::Reset => {
+            faults(|f, size| f.resets = size, size);
+            tokio::time::sleep(span).await;
+            faults(|f, _| f.resets = 0.0, size);
+        }
+        Kind::Slow | Kind::Neighbour => {
+            faults(|f, size| f.link_cut = size, size);
+            tokio::time::sleep(span).await;
+            faults(|f, _| f.link_cut = 1.0, size);
+        }
+        Kind::ReportLate => {
+            faults(|f, _| f.reports_frozen = true, size);
+            tokio::time::sleep(span).await;
+            faults(|f, _| f.reports_frozen = false, size);
+        }
+        Kind::SlowSetup => {
+            faults(|f, size| f.delay = Duration::from_secs_f64(size / 1e3), size);
+            tokio::time::sleep(span).await;
+            faults(|f, _| f.delay = Duration::ZERO, size);
+        }
+        Kind::OriginSlow => {
+            on.iter().for_each(|&rack| stage.fleet.cut_uplink(rack, size));
+            tokio::time::sleep(span).await;
+            on.iter().for_each(|&rack| stage.fleet.cut_uplink(rack, 1.0));
+        }
+        Kind::DiscoveryStale => {
+            stage.lists.set_stale(size);
+            tokio::time::sleep(span).await;
+            stage.lists.set_stale(0.0);
+        }
+        Kind::Ageing => {
+            for step in 1..=10 {
+                faults(
+                    |f, size| f.delay = Duration::from_secs_f64(size / 1e3),
+                    size * f64::from(step) / 10.0,
+                );
+                tokio::time::sleep(span / 10).await;
+            }
+            outage(&stage, &on, Duration::from_secs(2), true).await?;
+        }
+        Kind::Vanish => outage(&stage, &on, span, true).await?,
+        Kind::Drain => {
+            for &i in &on {
+                told(&stage, i, Standing::Draining, None, stage.notice).await?;
+            }
+            tokio::time::sleep(span).await;
+            outage(&stage, &on, Duration::from_secs(1), false).await?;
+        }
+        Kind::BalancerRoll => {
+            for &i in &on {
+                down(&stage, i, Duration::from_secs_f64(size), record).await?;
+                tokio::time::sleep(span / on.len().max(1) as u32).await;
+            }
+        }
+        Kind::PeerDown => {
+            for &i in &on {
+                stage.directors.kill(i as u16).await;
+            }
+            tokio::time::sleep(span).await;
+            for &i in &on {
+                stage.directors.start(i as u16, record).await?;
+            }
+        }
+        Kind::BalancerStall => {
+            let from = stage.log.now();
+            on.iter().for_each(|&i| stage.directors.pause(i as u16));
+            tokio::time::sleep(span).await;
+            on.iter().for_each(|&i| stage.directors.resume(i as u16, from));
+        }
+    }
+    Ok(())
+}
+
+/// The list tells it, late as it is just now.
+async fn told(
+    stage: &Stage,
+    node: usize,
+    standing: Standing,
+    started: Option<f64>,
+    after: Duration,
+) -> Result<(), String> {
+    tokio::time::sleep(after + Duration::from_secs_f64(stage.lists.stale())).await;
+    stage.lists.tell(node, standing, started).map_err(|e| format!("a box list: {e}"))
+}
+
+/// Processes end and come back cold. What ends in silence is listed as gone only after a while, if it is not
+/// back before.
+async fn outage(stage: &Arc<Stage>, on: &[usize], span: Duration, silent: bool) -> Result<(), String> {
+    on.iter().for_each(|&i| stage.fleet.stop(i));
+    if silent && span > stage.silent_notice {
+        for &i in on {
+            told(stage, i, Standing::Gone, None, Duration::ZERO).await?;
+        }
+    }
+    tokio::time::sleep(span).await;
+    let started = stage.log.now();
+    for &i in on {
+        stage.fleet.restart(i).map_err(|e| format!("node {i} does not come back: {e}"))?;
+    }
+    for &i in on {
+        told(stage, i, Standing::Ready, Some(started), Duration::ZERO).await?;
+    }
+    Ok(())
+}
+
+async fn down(stage: &Stage, director: usize, span: Duration, record: bool) -> Result<(), String> {
+    stage.directors.kill(director as u16).await;
+    tokio::time::sleep(span).await;
+    stage.directors.start(director as u16, record).await
+}
--- /dev/null
+++ b/crates/roster/src/tests.rs
@@ -0,0 +1,55 @@
+use ashglade::ids::{Cell, Model, Zone};
+use expect_test::expect;
+
+use super::*;
+
+fn entry(n: u16, standing: Standing) -> Entry {
+    let place = Place { zone: Zone(0), model: Model(0), cell: Cell(n), weight: 1.0, started: None };
+    Entry { name: format!("n{n}"), address: ([127, 0, 0, 1], 9000 + n).into(), place, standing }
+}
+
+fn offer(roster: &mut Roster, generation: u64, entries: Vec<Entry>) -> String {
+    let told = match roster.offer(List { generation, entries }) {
+        Ok(None) => "as before".to_string(),
+        Ok(Some(c)) => {
+            format!("taken: {} new, {} again, {} drain, {} gone", c.new, c.started_again, c.draining, c.gone)
+        }
+        Err(refusal) => format!("left out: {refusal}"),
+    };
+    let nodes: Vec<String> = {
+        let mut all: Vec<_> = roster.nodes().map(|(_, e)| format!("{} {:?}", e.name, e.standing)).collect();
+        all.sort();
+        all
+    };
+    format!("{generation}: {told} -> {}\n", nodes.join(", "))
+}
+
+#[test]
+fn a_list_counts_whole_or_not_at_all_and_drains_outlast_older_lists() {
+    use Standing::*;
+    let mut roster = Roster::default();
+    let mut trace = String::new();
+    trace += &offer(&mut roster, 1, vec![entry(1, Ready), entry(2, Ready)]);
+    trace += &offer(&mut roster, 3, vec![entry(1, Draining), entry(2, Ready), entry(3, Ready)]);
+    trace += &offer(&mut roster, 2, vec![entry(1, Ready), entry(2, Ready)]);
+    trace += &offer(&mut roster, 3, vec![entry(1, Ready), entry(2, Ready)]);
+    trace += &offer(&mut roster, 4, vec![entry(1, Ready), entry(4, Ready), entry(4, Ready)]);
+    let mut twin = entry(5, Ready);
+    twin.address = entry(1, Ready).address;
+    trace += &offer(&mut roster, 4, vec![entry(1, Ready), twin]);
+    trace += &offer(&mut roster, 4, vec![]);
+    let mut restarted = entry(1, Ready);
+    restarted.place.started = Some(Instant::from_ms(5.0));
+    trace += &offer(&mut roster, 4, vec![restarted]);
+    expect![[r#"
+        1: taken: 2 new, 0 again, 0 drain, 0 gone -> n1 Ready, n2 Ready
+        3: taken: 1 new, 0 again, 1 drain, 0 gone -> n1 Draining, n2 Ready, n3 Ready
+        2: left out: generation 2 is older than 3, which is in force -> n1 Draining, n2 Ready, n3 Ready
+        3: left out: generation 3 was told before with other entries -> n1 Draining, n2 Ready, n3 Ready
+        4: left out: two nodes are named n4 -> n1 Draining, n2 Ready, n3 Ready
+        4: left out: n1 and n5 have the same address, 127.0.0.1:9001 -> n1 Draining, n2 Ready, n3 Ready
+        4: left out: the list names no node -> n1 Draining, n2 Ready, n3 Ready
+        4: taken: 0 new, 1 again, 0 drain, 2 gone -> n1 Ready, n2 Gone, n3 Gone
+    "#]]
+    .assert_eq(&trace);
+}
--- /dev/null
+++ b/crates/settings/src/boxes.rs
@@ -0,0 +1,75 @@
+//! The box list: checked against the headend's names, and written by programs that keep one.
+
+use ashglade::ids::{Cell, Model, Zone};
+use ashglade::interface::Place;
+use ashglade::time::Instant;
+use ashglade_roster::{Entry, List, Standing};
+
+use crate::headend::named;
+use crate::schema::boxes as schema;
+use crate::text::{self, Trouble};
+
+/// Names that a box list uses, by their place in the headend settings.
+#[derive(Clone, Debug, Default)]
+pub struct Names {
+    pub zones: Vec<String>,
+    pub models: Vec<String>,
+    pub cells: u16,
+}
+
+/// Reads and checks a box list.
+pub fn boxes(file: &str, text: &str, names: &Names) -> Result<List, Trouble> {
+    let (read, at) = text::read::<schema::Boxes>(crate::SCHEMA, "ashglade.boxes.Boxes", file, text)?;
+    let generation = at.need("generation", read.generation)?;
+    let mut entries = Vec::new();
+    for (i, node) in read.r#box.iter().enumerate() {
+        let field = |name: &str| format!("box[{i}].{name}");
+        let address = named(&at, &field("address"), &node.address)?;
+        let address = address.parse().map_err(|_| {
+            at.trouble(&field("address"), format!("{address:?} is no address and port, as 127.0.0.1:8554"))
+        })?;
+        let zone = named(&at, &field("zone"), &node.zone)?;
+        let model = named(&at, &field("model"), &node.model)?;
+        let cell = node.cell.map(f64::from);
+        let place = Place {
+            zone: Zone(at.one_of(&field("zone"), &zone, &names.zones)? as u8),
+            model: Model(at.one_of(&field("model"), &model, &names.models)? as u8),
+            cell: Cell(at.within(&field("cell"), cell, 0.0, f64::from(names.cells) - 1.0)? as u16),
+            weight: at.within(&field("weight"), node.weight, 1e-6, 1e9)?,
+            started: node.started_ms.filter(|&ms| ms > 0).map(|ms| Instant::from_ms(ms as f64)),
+        };
+        let standing = match node.standing() {
+            schema::Standing::Ready => Standing::Ready,
+            schema::Standing::Draining => Standing::Draining,
+            schema::Standing::Gone => Standing::Gone,
+        };
+        entries.push(Entry { name: named(&at, &field("name"), &node.name)?, address, place, standing });
+    }
+    Ok(List { generation, entries })
+}
+
+/// Writes a list as [`boxes`] reads it.
+pub fn write_boxes(list: &List, names: &Names) -> String {
+    let mut text = format!("generation: {}\n", list.generation);
+    let name = |names: &[String], i: u8| names.get(usize::from(i)).cloned().unwrap_or_default();
+    for entry in &list.entries {
+        let place = &entry.place;
+        let started = place.started.map_or(0.0, Instant::as_ms);
+        let standing = match entry.standing {
+            Standing::Ready => "READY",
+            Standing::Draining => "DRAINING",
+            Standing::Gone => "GONE",
+        };
+        text += &format!(
+            "box {{ name: {:?} address: \"{}\" zone: {:?} model: {:?} cell: {} weight: {} started_ms: {started:.0} \
+             standing: {standing} }}\n",
+            entry.name,
+            entry.address,
+            name(&names.zones, place.zone.0),
+            name(&names.models, place.model.0),
+            place.cell.0,
+            place.weight,
+        );
+    }
+    text
+}
--- /dev/null
+++ b/crates/settings/src/headend.rs
@@ -0,0 +1,320 @@
+//! Headend settings: checked, and turned into what the module and the shell read at start.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use ashglade::ids::{Cell, Group, Rung, Zone};
+use ashglade::interface::{self, Gauge, Headend, Ration, Reach, ServiceGroup};
+use ashglade::time::Span;
+
+use crate::Names;
+use crate::schema::headend as schema;
+use crate::text::{self, Source, Trouble};
+
+/// Where a title is held, and for whom it is by default.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Title {
+    pub id: u64,
+    pub home: Cell,
+    pub copies: u16,
+    pub group: Option<Group>,
+}
+
+/// What the shell goes by.
+#[derive(Clone, Debug)]
+pub struct Front {
+    pub listen: SocketAddr,
+    pub default_group: Group,
+    pub most_connections: usize,
+    pub session_timeout: Duration,
+    pub write_timeout: Duration,
+    pub connect_timeout: Duration,
+    pub answer_timeout: Duration,
+    pub idle_connections: usize,
+    pub keep_alive: Duration,
+    pub drain: Duration,
+    pub list_poll: Duration,
+    pub clock_rate: u32,
+}
+
+#[derive(Clone, Debug)]
+pub struct Settings {
+    pub headend: Headend,
+    pub names: Names,
+    pub group_names: Vec<String>,
+    pub setup_timeouts: Vec<Span>,
+    pub titles: BTreeMap<String, Title>,
+    pub answer_margin: Span,
+    pub probe_timeout: Span,
+    pub most_sessions: usize,
+    pub front: Front,
+    /// Path of the box list, as written.
+    pub box_list: String,
+}
+
+impl Settings {
+    pub fn top_rung(&self) -> u8 {
+        (self.headend.ladder.len() - 1) as u8
+    }
+
+    /// The service group of a viewer: that of the URL, else the title's, else the default one. One that the URL
+    /// names and that does not exist is an error of the viewer's.
+    pub fn group_of(&self, named: Option<&str>, title: &Title) -> Option<Group> {
+        match named {
+            Some(name) => self.group_names.iter().position(|known| known == name).map(Group),
+            None => Some(title.group.unwrap_or(self.front.default_group)),
+        }
+    }
+}
+
+/// Most rungs, zones, cells, racks: what the ids of the module hold.
+const MOST_SMALL: f64 = 255.0;
+const MOST_CELLS: f64 = 65_535.0;
+/// No time in the settings is longer than a day, in milliseconds.
+const DAY: f64 = 86_400_000.0;
+
+/// Reads and checks headend settings.
+pub fn settings(file: &str, text: &str) -> Result<Settings, Trouble> {
+    let (read, at) = text::read::<schema::Headend>(crate::SCHEMA, "ashglade.headend.Headend", file, text)?;
+    let ms = |field: &str, value: Option<u32>, from: f64| -> Result<Span, Trouble> {
+        at.within(field, value.map(f64::from), from, DAY).map(Span::from_ms)
+    };
+    let zones = read.zone.clone();
+    some(&at, "zone", zones.len(), MOST_SMALL)?;
+    some(&at, "rung", read.rung.len(), MOST_SMALL)?;
+    some(&at, "model", read.model.len(), MOST_SMALL)?;
+    some(&at, "group", read.group.len(), MOST_SMALL)?;
+    some(&at, "title", read.title.len(), 1e7)?;
+    distinct(&at, "zone", zones.iter().map(String::as_str))?;
+
+    let mut places = Vec::new();
+    for (i, model) in read.model.iter().enumerate() {
+        let field = |name: &str| format!("model[{i}].{name}");
+        named(&at, &field("name"), &model.name)?;
+        places.push(at.within(&field("places"), model.places.map(f64::from), 1.0, 1e6)?);
+    }
+    let models: Vec<String> = read.model.iter().filter_map(|m| m.name.clone()).collect();
+    distinct(&at, "model", models.iter().map(String::as_str))?;
+
+    let mut ladder: Vec<(f64, f64)> = Vec::new();
+    for (i, rung) in read.rung.iter().enumerate() {
+        let field = |name: &str| format!("rung[{i}].{name}");
+        let kb = at.within(&field("kb_per_s"), rung.kb_per_s, 1e-3, 1e9)?;
+        let earns = at.within(&field("utility"), rung.utility, 0.0, 1.0)?;
+        if let Some(&(below, earned)) = ladder.last()
+            && (kb <= below || earns < earned)
+        {
+            return Err(at.trouble(&field("kb_per_s"), "the ladder must rise from rung to rung"));
+        }
+        ladder.push((kb, earns));
+    }
+    let highest = ladder.len() as f64 - 1.0;
+
+    let (mut groups, mut setup_timeouts, mut group_names) = (Vec::new(), Vec::new(), Vec::new());
+    for (i, g) in read.group.iter().enumerate() {
+        let (group, timeout) = group(&at, i, g, highest)?;
+        group_names.push(named(&at, &format!("group[{i}].name"), &g.name)?);
+        groups.push(group);
+        setup_timeouts.push(timeout);
+    }
+    distinct(&at, "group", group_names.iter().map(String::as_str))?;
+    let margin = read.limits.as_ref().and_then(|l| l.answer_margin_ms);
+    let answer_margin = ms("limits.answer_margin_ms", margin, 1.0)?;
+    if let Some(i) = setup_timeouts.iter().position(|&timeout| timeout * 0.5 < answer_margin) {
+        return Err(at.trouble(
+            &format!("group[{i}].setup_timeout_ms"),
+            "must be at least twice limits.answer_margin_ms, or no request could be answered in time",
+        ));
+    }
+
+    let links = at.need("links", read.links.as_ref())?;
+    let cells = at.within("links.cells", links.cells.map(f64::from), 1.0, MOST_CELLS)?;
+    let racks = at.within("links.racks", links.racks.map(f64::from), 1.0, cells)?;
+    let mut titles = BTreeMap::new();
+    for (i, title) in read.title.iter().enumerate() {
+        let field = |name: &str| format!("title[{i}].{name}");
+        let name = named(&at, &field("name"), &title.name)?;
+        if name.contains(['/', '?', '#', ' ', '%']) {
+            return Err(at.trouble(&field("name"), "must be a plain part of a URL's path"));
+        }
+        let home = at.within(&field("home"), Some(f64::from(title.home.unwrap_or(0))), 0.0, cells - 1.0)?;
+        let copies =
+            at.within(&field("copies"), Some(title.copies.map_or(cells, f64::from)), 1.0, cells)? as u16;
+        let group = match &title.group {
+            Some(group) => Some(Group(at.one_of(&field("group"), group, &group_names)?)),
+            None => None,
+        };
+        let held = Title { id: i as u64, home: Cell(home as u16), copies, group };
+        if titles.insert(name.clone(), held).is_some() {
+            return Err(at.trouble(&field("name"), format!("{name:?} is there twice")));
+        }
+    }
+
+    let limits = at.need("limits", read.limits.as_ref())?;
+    let tries =
+        at.within("limits.setups_per_session", limits.setups_per_session.map(f64::from), 1.0, 100.0)?;
+    let retry_after = match limits.max_retry_after_ms {
+        Some(most) => Some(ms("limits.max_retry_after_ms", Some(most), 1.0)?),
+        None => None,
+    };
+    let ration = match &limits.ration {
+        Some(r) => Some(Ration {
+            free: at.within("limits.ration.free", r.free, 0.0, 1e9)?,
+            per_session: at.within("limits.ration.per_session", r.per_session, 0.0, 100.0)?,
+            span: ms("limits.ration.span_ms", r.span_ms, 1.0)?,
+        }),
+        None => None,
+    };
+    let cold = at.need("cold", read.cold.as_ref())?;
+    let reports = at.need("reports", read.reports.as_ref())?;
+    let director = at.need("director", read.director.as_ref())?;
+    let directors = at.within("director.directors", director.directors.map(f64::from), 1.0, 1e5)?;
+    let number = at.within("director.number", director.number.map(f64::from), 0.0, directors - 1.0)?;
+    let zone = named(&at, "director.zone", &director.zone)?;
+    let zone = Zone(at.one_of("director.zone", &zone, &zones)? as u8);
+    let probe_timeout = ms("reports.probe_timeout_ms", reports.probe_timeout_ms, 1.0)?;
+    let may_probe = reports.may_probe.unwrap_or(false);
+    let probe_price = match (may_probe, reports.probe_price) {
+        (false, price) => price.unwrap_or(0.0),
+        (true, price) => at.within("reports.probe_price", price, 1e-9, 1.0)?,
+    };
+
+    let headend = Headend {
+        seed: at.need("director.seed", director.seed)?,
+        zone,
+        me: number as usize,
+        directors: directors as usize,
+        groups,
+        ladder,
+        places,
+        cells: cells as u16,
+        racks: racks as u16,
+        link_unit: at.within("links.unit_kb_per_s", links.unit_kb_per_s, 1e-3, 1e12)?,
+        uplink: at.within("links.uplink_kb_per_s", Some(links.uplink_kb_per_s.unwrap_or(0.0)), 0.0, 1e12)?,
+        join: at.within("links.join", Some(links.join.unwrap_or(1.0)), 0.0, 1.0)?,
+        notice: ms("reports.notice_ms", reports.notice_ms, 0.0)?,
+        // In the order in which the shell hands figures on.
+        gauges: vec![Gauge::Link, Gauge::Uplink, Gauge::Streams],
+        probe_only: reports.probe_only.unwrap_or(false),
+        may_probe,
+        probe_price,
+        may_cancel: true,
+        retry_after,
+        setups_per_session: tries as usize,
+        ration,
+        cold_from: at.within("cold.from", cold.from, 1e-3, 1.0)?,
+        warm_after: ms("cold.warm_after_ms", cold.warm_after_ms, 1.0)?,
+        fall_multiple: at.within("cold.fall_multiple", cold.fall_multiple, 0.1, 1e3)?,
+        fall_span: ms("cold.fall_span_ms", cold.fall_span_ms, 1.0)?,
+        ask_list_within: None,
+    };
+    let front = front(&at, at.need("front", read.front.as_ref())?, &group_names)?;
+    let most = limits.most_sessions.map(f64::from);
+    Ok(Settings {
+        names: Names { zones, models, cells: cells as u16 },
+        group_names,
+        setup_timeouts,
+        titles,
+        answer_margin,
+        probe_timeout,
+        most_sessions: at.within("limits.most_sessions", most, 1.0, 1e7)? as usize,
+        front,
+        box_list: named(&at, "box_list", &read.box_list)?,
+        headend,
+    })
+}
+
+fn group(at: &Source, i: usize, g: &schema::Group, highest: f64) -> Result<(ServiceGroup, Span), Trouble> {
+    let field = |name: &str| format!("group[{i}].{name}");
+    let target = at.within(&field("start_target_ms"), g.start_target_ms.map(f64::from), 1.0, DAY)?;
+    let timeout = at.within(&field("setup_timeout_ms"), g.setup_timeout_ms.map(f64::from), target, DAY)?;
+    let rung = |name: &str, value: Option<u32>, left_out: f64, from: f64| {
+        at.within(&field(name), Some(value.map_or(left_out, f64::from)), from, highest)
+    };
+    let floor = rung("floor", g.floor, 0.0, 0.0)?;
+    let top = rung("top", g.top, highest, floor)?;
+    let care = match g.care() {
+        schema::Care::Safe => interface::Care::Safe,
+        schema::Care::Dedup => interface::Care::Dedup,
+        schema::Care::Fragile => interface::Care::Fragile,
+        schema::Care::Unset => return Err(at.trouble(&field("care"), "is left out: SAFE, DEDUP or FRAGILE")),
+    };
+    let window = match care {
+        interface::Care::Dedup => {
+            at.within(&field("repeat_window_ms"), g.repeat_window_ms.map(f64::from), 1.0, DAY)?
+        }
+        _ => f64::from(g.repeat_window_ms.unwrap_or(0)),
+    };
+    let group = ServiceGroup {
+        start_target: Span::from_ms(target),
+        utility: at.within(&field("utility"), g.utility, 1e-6, 1e6)?,
+        care,
+        reach: match g.reach() {
+            schema::Reach::Anywhere => Reach::Anywhere,
+            schema::Reach::SameZone => Reach::SameZone,
+            schema::Reach::SameCell => Reach::SameCell,
+        },
+        repeat_window: Span::from_ms(window),
+        live: g.live.unwrap_or(false),
+        scale: at.within(&field("rate_scale"), Some(g.rate_scale.unwrap_or(1.0)), 1e-3, 1e3)?,
+        floor: Rung(floor as u8),
+        top: Rung(top as u8),
+        seats: g.seats.unwrap_or(0) as usize,
+    };
+    Ok((group, Span::from_ms(timeout)))
+}
+
+fn front(at: &Source, f: &schema::Front, groups: &[String]) -> Result<Front, Trouble> {
+    let time = |name: &str, value: Option<u32>| -> Result<Duration, Trouble> {
+        let ms = at.within(&format!("front.{name}"), value.map(f64::from), 1.0, DAY)?;
+        Ok(Duration::from_secs_f64(ms / 1e3))
+    };
+    let count = |name: &str, value: Option<u32>, from: f64, to: f64| {
+        at.within(&format!("front.{name}"), value.map(f64::from), from, to)
+    };
+    let listen = named(at, "front.listen", &f.listen)?;
+    let listen = listen.parse().map_err(|_| {
+        at.trouble("front.listen", format!("{listen:?} is no address and port, as 127.0.0.1:8554"))
+    })?;
+    let default = named(at, "front.default_group", &f.default_group)?;
+    Ok(Front {
+        listen,
+        default_group: Group(at.one_of("front.default_group", &default, groups)?),
+        most_connections: count("most_connections", f.most_connections, 1.0, 1e6)? as usize,
+        session_timeout: Duration::from_secs(
+            count("session_timeout_s", f.session_timeout_s, 1.0, 86_400.0)? as u64
+        ),
+        write_timeout: time("write_timeout_ms", f.write_timeout_ms)?,
+        connect_timeout: time("connect_timeout_ms", f.connect_timeout_ms)?,
+        answer_timeout: time("answer_timeout_ms", f.answer_timeout_ms)?,
+        idle_connections: count("idle_connections", f.idle_connections, 0.0, 1e4)? as usize,
+        keep_alive: time("keep_alive_ms", f.keep_alive_ms)?,
+        drain: time("drain_ms", f.drain_ms)?,
+        list_poll: time("list_poll_ms", f.list_poll_ms)?,
+        clock_rate: count("clock_rate", Some(f.clock_rate.unwrap_or(90_000)), 1_000.0, 1e9)? as u32,
+    })
+}
+
+fn some(at: &Source, field: &str, count: usize, most: f64) -> Result<(), Trouble> {
+    match count {
+        0 => Err(at.trouble(field, "is left out; one at least is wanted")),
+        n if n as f64 > most => Err(at.trouble(field, format!("{n} of them; {most} at most"))),
+        _ => Ok(()),
+    }
+}
+
+pub(crate) fn named(at: &Source, field: &str, name: &Option<String>) -> Result<String, Trouble> {
+    let name = at.need(field, name.as_deref())?;
+    if name.is_empty() { Err(at.trouble(field, "is empty")) } else { Ok(name.to_string()) }
+}
+
+fn distinct<'a>(at: &Source, field: &str, names: impl Iterator<Item = &'a str>) -> Result<(), Trouble> {
+    let mut seen = std::collections::BTreeSet::new();
+    for (i, name) in names.enumerate() {
+        if !seen.insert(name) {
+            return Err(at.trouble(&format!("{field}[{i}]"), format!("{name:?} is there twice")));
+        }
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/standin/src/lib.rs
@@ -0,0 +1,10 @@
+//! Stand-ins for what a director meets: media nodes that share links and uplinks, start cold and fall, and viewers
+//! that ask, watch, come again and leave. Faults are set from outside, by script. Loopback only.
+
+mod connection;
+mod log;
+pub mod node;
+pub mod viewer;
+
+pub use log::Log;
+pub use node::{Faults, Fleet, Spec};
--- /dev/null
+++ b/crates/standin/src/viewer.rs
@@ -0,0 +1,200 @@
+//! Scripted viewers: they ask, watch, come again after a busy reply or a break, and leave.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
+use ashglade_judge::What;
+use ashglade_rtsp::{Codec, Packet, Request, Response, messages};
+use futures_util::{SinkExt, StreamExt};
+use rtsp_types::{Method, StatusCode, Url, headers};
+use tokio::net::TcpStream;
+use tokio::time::{Instant, timeout_at};
+use tokio_util::codec::Framed;
+
+use crate::log::Log;
+
+/// What one viewer does.
+#[derive(Clone, Debug)]
+pub struct Script {
+    pub id: u64,
+    /// Directors it may ask, by number; it begins with the first and goes round.
+    pub directors: Vec<(u16, SocketAddr)>,
+    pub group: String,
+    pub title: String,
+    /// Highest rung that it can use.
+    pub top: u8,
+    pub setup_timeout: Duration,
+    pub watch: Duration,
+    /// It leaves so long after its request if it has no answer by then.
+    pub leaves_after: Option<Duration>,
+    /// How often it comes again, and after how long where it isn't told.
+    pub returns: u32,
+    pub rejoin: Duration,
+}
+
+/// What viewers saw of the media, summed up.
+#[derive(Debug, Default)]
+pub struct Media {
+    pub packets: AtomicU64,
+    pub bytes: AtomicU64,
+    /// Packets of another SSRC than the session's, and steps back in the sequence: there must be none.
+    pub foreign: AtomicU64,
+    pub backward: AtomicU64,
+    pub breaks: AtomicU64,
+}
+
+/// How a try ended.
+enum End {
+    Watched,
+    Busy(Option<Duration>),
+    Broken,
+    Left,
+}
+
+pub async fn run(script: Script, log: Log, media: Arc<Media>) {
+    let mut left = script.watch;
+    for again in 0..=script.returns {
+        let Some(&(director, address)) = script.directors.get(again as usize % script.directors.len().max(1))
+        else {
+            return;
+        };
+        let began = Instant::now();
+        let end = one(&script, again, director, address, left, &log, &media).await;
+        left = left.saturating_sub(began.elapsed());
+        match end {
+            End::Watched | End::Left => return,
+            End::Busy(after) => tokio::time::sleep(after.unwrap_or(script.rejoin)).await,
+            End::Broken => {
+                media.breaks.fetch_add(1, Ordering::Relaxed);
+                tokio::time::sleep(script.rejoin).await;
+            }
+        }
+        if left < Duration::from_millis(200) {
+            return;
+        }
+    }
+}
+
+struct Connection {
+    framed: Framed<TcpStream, Codec>,
+    cseq: u32,
+    url: Url,
+    session: Option<String>,
+}
+
+impl Connection {
+    async fn send(&mut self, method: Method, transport: bool) -> Result<(), ashglade_rtsp::Fault> {
+        self.cseq += 1;
+        let mut request: Request = messages::request(method, &self.url, self.cseq);
+        if let Some(session) = &self.session {
+            request.insert_header(headers::SESSION, session.as_str());
+        }
+        if transport {
+            request.insert_header(headers::TRANSPORT, "RTP/AVP/TCP;unicast;interleaved=0-1");
+        }
+        self.framed.send(Packet::Request(request)).await
+    }
+
+    /// The answer to the last request; frames are passed over.
+    async fn answer(&mut self) -> Option<Response> {
+        loop {
+            if let Packet::Response(response) = self.framed.next().await?.ok()? {
+                return Some(response);
+            }
+        }
+    }
+}
+
+async fn one(
+    script: &Script,
+    again: u32,
+    director: u16,
+    address: SocketAddr,
+    watch: Duration,
+    log: &Log,
+    media: &Media,
+) -> End {
+    let viewer = script.id;
+    let query = format!("group={}&top={}&viewer={viewer}.{again}", script.group, script.top);
+    let Ok(url) = Url::parse(&format!("rtsp://{address}/{}/track1?{query}", script.title)) else {
+        return End::Left;
+    };
+    let connect = tokio::time::timeout(script.setup_timeout, TcpStream::connect(address));
+    let Ok(Ok(stream)) = connect.await else { return End::Broken };
+    let _ = stream.set_nodelay(true);
+    let mut connection =
+        Connection { framed: Framed::new(stream, Codec::default()), cseq: 0, url, session: None };
+    let asked = Instant::now();
+    log.saw(What::Asked {
+        viewer,
+        again,
+        director,
+        group: script.group.clone(),
+        title: script.title.clone(),
+        setup_timeout: script.setup_timeout.as_secs_f64() * 1e3,
+    });
+    if connection.send(Method::Setup, true).await.is_err() {
+        log.saw(What::Cut { viewer, again });
+        return End::Broken;
+    }
+    let patience = script.leaves_after.unwrap_or(script.setup_timeout).min(script.setup_timeout);
+    let response = match timeout_at(asked + patience, connection.answer()).await {
+        Ok(Some(response)) => response,
+        Ok(None) => {
+            log.saw(What::Cut { viewer, again });
+            return End::Broken;
+        }
+        Err(_) => {
+            log.saw(What::GaveUp { viewer, again, patient: patience >= script.setup_timeout });
+            return if patience < script.setup_timeout { End::Left } else { End::Broken };
+        }
+    };
+    log.saw(What::Answered { viewer, again, status: response.status().into() });
+    match response.status() {
+        StatusCode::Ok => {}
+        StatusCode::ServiceUnavailable | StatusCode::NotEnoughBandwidth => {
+            let after = messages::header(&response, &headers::RETRY_AFTER).and_then(|v| v.parse().ok());
+            return End::Busy(after.map(Duration::from_secs));
+        }
+        _ => return End::Broken,
+    }
+    let session = messages::header(&response, &headers::SESSION).map(|s| messages::session_id(s).to_string());
+    connection.session = session;
+    if connection.send(Method::Play, false).await.is_err() {
+        return End::Broken;
+    }
+    let until = asked + watch;
+    let mut last: Option<(u32, u16)> = None;
+    loop {
+        match timeout_at(until, connection.framed.next()).await {
+            Err(_) => break,
+            Ok(Some(Ok(Packet::Frame { channel: 0, payload }))) => {
+                let Ok(packet) = rtp_types::RtpPacket::parse(&payload) else { continue };
+                media.packets.fetch_add(1, Ordering::Relaxed);
+                media.bytes.fetch_add(payload.len() as u64, Ordering::Relaxed);
+                let (ssrc, seq) = (packet.ssrc(), packet.sequence_number());
+                if let Some((before, at)) = last {
+                    media.foreign.fetch_add(u64::from(ssrc != before), Ordering::Relaxed);
+                    let back = seq.wrapping_sub(at) > 0x8000;
+                    media.backward.fetch_add(u64::from(back), Ordering::Relaxed);
+                }
+                last = Some((ssrc, seq));
+            }
+            // RTCP BYE: the stream is over.
+            Ok(Some(Ok(Packet::Frame { payload, .. }))) if payload.get(1) == Some(&203) => {
+                return End::Broken;
+            }
+            Ok(Some(Ok(Packet::Response(response)))) if response.status() != StatusCode::Ok => {
+                return End::Broken;
+            }
+            Ok(Some(Ok(_))) => {}
+            Ok(Some(Err(_)) | None) => return End::Broken,
+        }
+    }
+    if connection.send(Method::Teardown, false).await.is_ok() {
+        let _ = timeout_at(Instant::now() + Duration::from_millis(500), connection.answer()).await;
+    }
+    End::Watched
+}
--- a/src/ids.rs
+++ b/src/ids.rs
@@ -4,6 +4,8 @@
     ($($(#[$doc:meta])* $name:ident($raw:ty);)*) => {$(
         $(#[$doc])*
         #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+        #[derive(serde::Serialize, serde::Deserialize)]
+        #[serde(transparent)]
         pub struct $name(pub $raw);
     )*};
 }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -1,5 +1,7 @@
 //! What a director is told at start and what it writes its decisions to.
 
+use serde::{Deserialize, Serialize};
+
 use crate::ids::{Cell, Group, Model, Node, Rung, Sess, SetupNo, Ticket, Title, Zone};
 use crate::time::{Instant, Span};
 
@@ -136,7 +138,7 @@
 }
 
 /// What the list tells of a media node.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Place {
     pub zone: Zone,
     pub model: Model,
@@ -147,7 +149,7 @@
 }
 
 /// What a viewer wants.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Viewing {
     pub group: Group,
     pub title: Title,
@@ -161,7 +163,7 @@
 }
 
 /// How a SETUP, or the session that came of it, ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Ending {
     Played,
     /// Turned away unseen.
--- a/src/time.rs
+++ b/src/time.rs
@@ -2,10 +2,14 @@
 
 use std::ops::{Add, Div, Mul, Sub};
 
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+use serde::{Deserialize, Serialize};
+
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(transparent)]
 pub struct Instant(i64);
 
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(transparent)]
 pub struct Span(i64);
 
 impl Instant {
@@ -70,6 +74,13 @@
     }
 }
 
+impl Sub for Span {
+    type Output = Span;
+    fn sub(self, other: Span) -> Span {
+        Span(self.0.saturating_sub(other.0))
+    }
+}
+
 impl Mul<f64> for Span {
     type Output = Span;
     fn mul(self, times: f64) -> Span {
