--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -24,3 +24,6 @@
 pub use answers::Tally;
 pub use engine::{Engine, Start};
 pub use words::{Answer, Effect, Input, Load, Want};
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/engine/src/tests.rs
@@ -0,0 +1,442 @@
+//! Traces of inputs and effects, and a seeded world that tries to break the engine's promises.
+
+use std::collections::BTreeMap;
+
+use ashglade::ids::*;
+use ashglade::interface::*;
+use ashglade::time::{Instant, Span};
+use ashglade_roster::{Entry, List, Standing, id_of};
+use expect_test::{Expect, expect};
+
+use super::*;
+
+fn start(care: Care) -> Start {
+    let group = ServiceGroup {
+        start_target: Span::from_secs(1.0),
+        utility: 1.0,
+        care,
+        reach: Reach::Anywhere,
+        repeat_window: Span::from_secs(5.0),
+        live: false,
+        scale: 1.0,
+        floor: Rung(0),
+        top: Rung(1),
+        seats: 0,
+    };
+    let headend = Headend {
+        seed: 3,
+        zone: Zone(0),
+        me: 0,
+        directors: 1,
+        groups: vec![group],
+        ladder: vec![(100.0, 0.4), (200.0, 1.0)],
+        places: vec![100.0],
+        cells: 4,
+        racks: 1,
+        link_unit: 2000.0,
+        uplink: 0.0,
+        join: 1.0,
+        notice: Span::from_secs(1.0),
+        gauges: vec![Gauge::Link],
+        probe_only: false,
+        may_probe: false,
+        probe_price: 0.0,
+        may_cancel: true,
+        retry_after: Some(Span::from_secs(2.0)),
+        setups_per_session: 3,
+        ration: None,
+        cold_from: 1.0,
+        warm_after: Span::from_secs(1.0),
+        fall_multiple: 9.0,
+        fall_span: Span::from_secs(1.0),
+        ask_list_within: None,
+    };
+    let span = Span::from_ms;
+    Start { headend, answer_margin: span(200.0), probe_timeout: span(250.0), most_sessions: 40 }
+}
+
+fn address(n: u16) -> std::net::SocketAddr {
+    ([127, 0, 0, 1], n).into()
+}
+
+fn list(generation: u64, standings: &[Standing]) -> Input {
+    let place = |n| Place { zone: Zone(0), model: Model(0), cell: Cell(n), weight: 1.0, started: None };
+    let entry = |(n, &standing): (usize, &Standing)| {
+        let n = n as u16 + 1;
+        Entry { name: format!("n{n}"), address: address(n), place: place(n - 1), standing }
+    };
+    Input::List(List { generation, entries: standings.iter().enumerate().map(entry).collect() })
+}
+
+fn want() -> Want {
+    let setup_timeout = Span::from_secs(3.0);
+    Want { group: Group(0), title: Title(1), top: Rung(1), home: Cell(0), copies: 4, setup_timeout }
+}
+
+fn print(effect: &Effect, names: &BTreeMap<Node, String>) -> String {
+    match effect {
+        Effect::Setup { sess, setup, node, rung, until } => {
+            format!("setup {}.{} at {} rung {} until {}", sess.0, setup.0, names[node], rung.0, until.as_ms())
+        }
+        Effect::Withdraw { sess, setup, if_unsent } => {
+            format!("withdraw {}.{}{}", sess.0, setup.0, if *if_unsent { " if unsent" } else { "" })
+        }
+        Effect::Answer { sess, answer: Answer::Plays { rung } } => {
+            format!("{} plays at rung {}", sess.0, rung.0)
+        }
+        Effect::Answer { sess, answer: Answer::Busy { retry_after } } => {
+            format!("{} busy, again after {:?}", sess.0, retry_after.map(Span::as_ms))
+        }
+        Effect::Answer { sess, answer: Answer::TornDown } => format!("{} torn down", sess.0),
+        Effect::Rung { sess, rung } => format!("{} to rung {}", sess.0, rung.0),
+        Effect::Release { sess } => format!("release {}", sess.0),
+        Effect::Probe { node, .. } => format!("probe {}", names[node]),
+        Effect::Listed { generation, refused } => format!("list {generation} {refused:?}"),
+        Effect::Drained => "drained".to_string(),
+    }
+}
+
+/// An engine with nodes n1 to n3, all warm, and its trace.
+struct Desk {
+    engine: Engine,
+    names: BTreeMap<Node, String>,
+    trace: String,
+}
+
+impl Desk {
+    fn open(care: Care) -> Desk {
+        let engine = Engine::start(start(care), Instant::from_ms(0.0));
+        let names = (1..=3).map(|n| (id_of(&address(n)), format!("n{n}"))).collect();
+        let mut desk = Desk { engine, names, trace: String::new() };
+        desk.at(0.0, vec![list(1, &[Standing::Ready; 3])]);
+        desk.trace.clear();
+        desk
+    }
+
+    fn at(&mut self, ms: f64, inputs: Vec<Input>) {
+        let effects = self.engine.round(Instant::from_ms(ms), inputs);
+        let texts: Vec<String> = effects.iter().map(|e| print(e, &self.names)).collect();
+        if !texts.is_empty() {
+            self.trace += &format!("{ms} ms: {}\n", texts.join(", "));
+        }
+    }
+
+    /// Lets time pass until `ms`, a round whenever one is due.
+    fn until(&mut self, ms: f64) {
+        while let Some(due) = self.engine.next_due().filter(|due| due.as_ms() <= ms) {
+            self.at(due.as_ms(), vec![]);
+        }
+    }
+
+    fn ask(&mut self, ms: f64, sess: u64) {
+        self.at(ms, vec![Input::Asked { sess: Sess(sess), want: want() }]);
+    }
+
+    fn shows(&self, trace: Expect) {
+        trace.assert_eq(&self.trace);
+    }
+}
+
+const S: Sess = Sess(1);
+
+fn written(setup: u16) -> Input {
+    Input::Written { sess: S, setup: SetupNo(setup) }
+}
+
+fn started(setup: u16) -> Input {
+    Input::Started { sess: S, setup: SetupNo(setup), load: None }
+}
+
+fn ended(setup: u16, how: Ending) -> Input {
+    Input::Ended { sess: S, setup: SetupNo(setup), how, load: None }
+}
+
+#[test]
+fn a_200_after_its_setup_was_given_up_is_torn_down_at_the_node() {
+    let mut desk = Desk::open(Care::Safe);
+    desk.ask(1000.0, 1);
+    desk.at(1001.0, vec![written(0)]);
+    desk.until(1500.0);
+    desk.at(1501.0, vec![started(0)]);
+    desk.at(1510.0, vec![written(1), started(1)]);
+    desk.at(1511.0, vec![started(0)]);
+    desk.shows(expect![[r#"
+        1000 ms: setup 1.0 at n1 rung 1 until 1500
+        1500 ms: withdraw 1.0
+        1501 ms: release 1, setup 1.1 at n3 rung 1 until 1751
+        1510 ms: 1 plays at rung 1
+        1511 ms: release 1
+    "#]]);
+}
+
+#[test]
+fn a_viewer_that_leaves_gets_no_answer_and_what_it_left_ends() {
+    let mut desk = Desk::open(Care::Safe);
+    desk.ask(1000.0, 1);
+    desk.at(1100.0, vec![written(0), Input::Left { sess: S }]);
+    desk.at(1110.0, vec![ended(0, Ending::Cancelled)]);
+    desk.ask(2000.0, 1);
+    desk.at(2100.0, vec![written(0), Input::Left { sess: S }, started(0)]);
+    desk.trace += &format!("in hand {}\n", desk.engine.in_hand());
+    desk.shows(expect![[r#"
+        1000 ms: setup 1.0 at n1 rung 1 until 1500
+        1100 ms: withdraw 1.0
+        2000 ms: setup 1.0 at n2 rung 1 until 2500
+        2100 ms: release 1
+        in hand 0
+    "#]]);
+}
+
+#[test]
+fn what_waits_for_a_connection_to_a_draining_node_is_recalled_and_goes_elsewhere() {
+    let mut desk = Desk::open(Care::Fragile);
+    desk.ask(1000.0, 1);
+    let at: Vec<Standing> = (1..=3)
+        .map(|n| if desk.trace.contains(&format!("at n{n}")) { Standing::Draining } else { Standing::Ready })
+        .collect();
+    desk.at(1050.0, vec![list(2, &at)]);
+    desk.at(1051.0, vec![ended(0, Ending::Unsent)]);
+    // Once it is written it goes on, drain or not.
+    desk.at(1060.0, vec![written(1), list(3, &[Standing::Draining; 3])]);
+    desk.at(1070.0, vec![started(1)]);
+    desk.shows(expect![[r#"
+        1000 ms: setup 1.0 at n1 rung 1 until 3800
+        1050 ms: withdraw 1.0 if unsent, list 2 None
+        1051 ms: setup 1.1 at n3 rung 1 until 3800
+        1060 ms: list 3 None
+        1070 ms: 1 plays at rung 1
+    "#]]);
+}
+
+#[test]
+fn unsent_is_not_believed_once_a_byte_was_written() {
+    let mut desk = Desk::open(Care::Fragile);
+    desk.ask(1000.0, 1);
+    desk.at(1001.0, vec![written(0)]);
+    desk.at(1002.0, vec![ended(0, Ending::Unsent)]);
+    desk.shows(expect![[r#"
+        1000 ms: setup 1.0 at n1 rung 1 until 3800
+        1002 ms: 1 torn down
+    "#]]);
+}
+
+#[test]
+fn an_ending_that_is_never_told_does_not_hold_the_answer() {
+    let mut desk = Desk::open(Care::Fragile);
+    desk.ask(1000.0, 1);
+    desk.at(1001.0, vec![written(0)]);
+    desk.until(4000.0);
+    desk.trace +=
+        &format!("untold {}, guarded {}\n", desk.engine.tally().untold, desk.engine.tally().guarded);
+    desk.shows(expect![[r#"
+        1000 ms: setup 1.0 at n1 rung 1 until 3800
+        3800 ms: withdraw 1.0
+        3850 ms: 1 torn down
+        untold 1, guarded 0
+    "#]]);
+}
+
+#[test]
+fn after_a_long_pause_all_that_came_meanwhile_counts_first() {
+    let mut desk = Desk::open(Care::Safe);
+    desk.ask(1000.0, 1);
+    desk.at(1001.0, vec![written(0)]);
+    // Nothing ran from here to 2.2 s; the node's answer came meanwhile, that of another session never.
+    desk.at(2200.0, vec![started(0), Input::Asked { sess: Sess(2), want: want() }]);
+    desk.at(6000.0, vec![]);
+    desk.shows(expect![[r#"
+        1000 ms: setup 1.0 at n1 rung 1 until 1500
+        2200 ms: 1 plays at rung 1, setup 2.0 at n2 rung 1 until 2700
+        6000 ms: withdraw 2.0, 2 torn down
+    "#]]);
+}
+
+#[test]
+fn a_draining_director_takes_nothing_new_and_says_when_it_is_empty() {
+    let mut desk = Desk::open(Care::Safe);
+    desk.ask(1000.0, 1);
+    desk.at(1010.0, vec![written(0), started(0)]);
+    desk.at(1500.0, vec![Input::Drain]);
+    desk.ask(1600.0, 2);
+    desk.at(1700.0, vec![Input::Over { sess: S, how: Ending::Lost }]);
+    desk.shows(expect![[r#"
+        1000 ms: setup 1.0 at n1 rung 1 until 1500
+        1010 ms: 1 plays at rung 1
+        1600 ms: 2 busy, again after Some(2000.0)
+        1700 ms: drained
+    "#]]);
+}
+
+#[test]
+fn sessions_in_hand_are_bounded() {
+    let mut desk = Desk::open(Care::Safe);
+    desk.at(1000.0, (1..=60).map(|n| Input::Asked { sess: Sess(n), want: want() }).collect());
+    let tally = desk.engine.tally();
+    assert_eq!((desk.engine.in_hand() <= 40, tally.over_bound >= 20, tally.asked), (true, true, 60));
+}
+
+/// A shell and a world that do their worst within what is allowed: endings late, twice, never, answers after the
+/// end, viewers that leave at any time, lists that drain and bring back, pauses.
+struct World {
+    random: oorandom::Rand64,
+    /// By session: answers, whether it left, when it asked.
+    asked: BTreeMap<Sess, (usize, bool, f64)>,
+    /// SETUPs that the shell has out.
+    out: BTreeMap<Sess, (SetupNo, bool)>,
+    playing: Vec<Sess>,
+    late: f64,
+}
+
+fn world(seed: u64, care: Care, rounds: usize) -> (Vec<record::Line>, World) {
+    let mut engine = Engine::start(start(care), Instant::from_ms(0.0));
+    let random = oorandom::Rand64::new(seed.into());
+    let mut world =
+        World { random, asked: BTreeMap::new(), out: BTreeMap::new(), playing: vec![], late: 0.0 };
+    let mut lines = Vec::new();
+    let (mut now, mut generation, mut next) = (0.0, 1, 1);
+    let mut inputs = vec![list(1, &[Standing::Ready; 3])];
+    for round in 0..rounds {
+        let effects = engine.round(Instant::from_ms(now), inputs.clone());
+        for effect in &effects {
+            match effect {
+                Effect::Setup { sess, setup, .. } => {
+                    let before = world.out.insert(*sess, (*setup, false));
+                    assert!(before.is_none(), "seed {seed}: two SETUPs out for {sess:?}");
+                    assert!(!world.asked[sess].1, "seed {seed}: set up after the viewer left");
+                }
+                Effect::Answer { sess, .. } => {
+                    let entry = world.asked.get_mut(sess).expect("an answer to a request");
+                    entry.0 += 1;
+                    world.late = world.late.max(now - entry.2);
+                }
+                _ => {}
+            }
+        }
+        let line = record::Line { at: Instant::from_ms(now), inputs: std::mem::take(&mut inputs), effects };
+        // Withdrawn SETUPs are told now, later or never; the engine must not ask for another before it counts
+        // this one as ended, at which the shell has closed its connection.
+        for effect in &line.effects {
+            if let Effect::Withdraw { sess, setup, if_unsent } = effect
+                && let Some((out, written)) = world.out.get(sess).copied()
+                && out == *setup
+                && !(*if_unsent && written)
+            {
+                world.out.remove(sess);
+                let how = if written { Ending::Cancelled } else { Ending::Unsent };
+                match world.random.rand_range(0..4) {
+                    0 => {}
+                    1 if written => inputs.push(Input::Started { sess: *sess, setup: *setup, load: None }),
+                    _ => inputs.push(Input::Ended { sess: *sess, setup: *setup, how, load: None }),
+                }
+            }
+            if let Effect::Answer { sess, answer: Answer::Plays { .. } } = effect {
+                world.playing.push(*sess);
+            }
+        }
+        lines.push(line);
+        now += [1.0, 5.0, 20.0, 60.0][world.random.rand_range(0..4) as usize];
+        if let Some(due) = engine.next_due().map(Instant::as_ms).filter(|&due| due < now) {
+            now = due;
+        }
+        // The last seconds bring nothing new, so that all that is owed must come.
+        let quiet = round + 400 > rounds;
+        world.act(&mut inputs, &mut next, &mut generation, now, quiet);
+    }
+    assert_eq!((engine.tally().doubled, engine.tally().guarded), (0, 0), "seed {seed}");
+    (lines, world)
+}
+
+impl World {
+    fn act(&mut self, inputs: &mut Vec<Input>, next: &mut u64, generation: &mut u64, now: f64, quiet: bool) {
+        let chance = |random: &mut oorandom::Rand64, part: f64| random.rand_float() < part;
+        if !quiet && chance(&mut self.random, 0.3) && self.asked.len() < 60 {
+            let sess = Sess(*next);
+            *next += 1;
+            self.asked.insert(sess, (0, false, now));
+            inputs.push(Input::Asked { sess, want: want() });
+        }
+        let out: Vec<(Sess, SetupNo, bool)> = self.out.iter().map(|(&s, &(n, w))| (s, n, w)).collect();
+        for (sess, setup, was) in out {
+            if !was && chance(&mut self.random, 0.5) {
+                self.out.insert(sess, (setup, true));
+                inputs.push(Input::Written { sess, setup });
+            } else if was && chance(&mut self.random, 0.15) {
+                self.out.remove(&sess);
+                let endings = [Ending::Full, Ending::Fault, Ending::Lost];
+                match self.random.rand_range(0..5) as usize {
+                    n @ 0..3 => inputs.push(Input::Ended { sess, setup, how: endings[n], load: None }),
+                    _ => inputs.push(Input::Started { sess, setup, load: None }),
+                }
+            } else if !was && chance(&mut self.random, 0.1) {
+                self.out.remove(&sess);
+                inputs.push(Input::Ended { sess, setup, how: Ending::Unreachable, load: None });
+            }
+        }
+        if !quiet && chance(&mut self.random, 0.05) {
+            let present: Vec<Sess> = self.asked.iter().filter(|(_, a)| !a.1).map(|(&s, _)| s).collect();
+            if let Some(&sess) = present.get(self.random.rand_range(0..present.len().max(1) as u64) as usize)
+            {
+                if let Some(entry) = self.asked.get_mut(&sess) {
+                    entry.1 = true;
+                }
+                inputs.push(Input::Left { sess });
+                // As the shell does: what is out is ended and told in the same breath.
+                if let Some((setup, written)) = self.out.remove(&sess) {
+                    let how = if written { Ending::Cancelled } else { Ending::Unsent };
+                    inputs.push(Input::Ended { sess, setup, how, load: None });
+                }
+            }
+        }
+        if chance(&mut self.random, 0.02) {
+            *generation += 1;
+            let mut standing = || {
+                [Standing::Ready, Standing::Ready, Standing::Draining, Standing::Gone]
+                    [self.random.rand_range(0..4) as usize]
+            };
+            inputs.push(list(*generation, &[standing(), standing(), standing()]));
+        }
+        if let Some(&sess) = self.playing.last()
+            && chance(&mut self.random, 0.05)
+        {
+            self.playing.pop();
+            inputs.push(Input::Over { sess, how: Ending::Lost });
+        }
+        if let Some(&sess) = self.playing.first() {
+            inputs.push(Input::Flow { sess, share: self.random.rand_float() });
+        }
+    }
+}
+
+#[test]
+fn each_request_has_one_answer_in_time_whatever_the_world_does() {
+    for seed in 0..300 {
+        let care = [Care::Safe, Care::Dedup, Care::Fragile][seed as usize % 3];
+        let (_, world) = world(seed, care, 900);
+        for (sess, (answers, left, _)) in &world.asked {
+            let well = *answers == 1 || (*left && *answers == 0);
+            assert!(well, "seed {seed}: {sess:?} had {answers} answers, left: {left}");
+        }
+        // The setup timeout is 3 s; rounds are up to 60 ms apart.
+        assert!(world.late < 3000.0, "seed {seed}: an answer took {} ms", world.late);
+    }
+}
+
+#[test]
+fn a_record_plays_again_to_the_same_effects_and_a_changed_one_does_not() {
+    let (lines, _) = world(7, Care::Safe, 600);
+    let head = record::Head { started: Instant::from_ms(0.0) };
+    let mut text = serde_json::to_string(&head).unwrap() + "\n";
+    for line in &lines {
+        text += &(serde_json::to_string(line).unwrap() + "\n");
+    }
+    let (rounds, _) = record::replay(start(Care::Safe), &text).unwrap();
+    assert_eq!(rounds, 600);
+    // Cut off by a kill in the middle of a line, it counts up to there.
+    let (rounds, _) = record::replay(start(Care::Safe), &text[..text.len() - 10]).unwrap();
+    assert_eq!(rounds, 599);
+    let differs = record::replay(start(Care::Fragile), &text).unwrap_err().to_string();
+    assert!(differs.starts_with("line "), "{differs}");
+    let broken = text.replacen("{\"at\"", "{\"ta\"", 1);
+    let broken = record::replay(start(Care::Safe), &broken).unwrap_err().to_string();
+    expect!["line 2: missing field `at` at line 1 column 473"].assert_eq(&broken);
+}
--- a/crates/judge/src/lib.rs
+++ b/crates/judge/src/lib.rs
@@ -6,3 +6,6 @@
 
 pub use rules::{Broken, Finding, Verdict, judge};
 pub use sights::{Care, Group, Node, Plan, Reach, Sight, Traffic, Trouble, What};
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/rtsp/tests/machines.rs
@@ -0,0 +1,224 @@
+//! The viewer's state machine, method by method in each state, and RTP across a change of rendition.
+
+use ashglade_rtsp::messages::{self, Channels};
+use ashglade_rtsp::rewrite::{Meter, Rewriter};
+use ashglade_rtsp::server::{Server, State, Step};
+use ashglade_rtsp::{Request, Response};
+use expect_test::expect;
+use rtsp_types::headers;
+use rtsp_types::{Method, StatusCode, Url};
+
+fn request(method: Method, session: Option<&str>, transport: Option<&str>) -> Request {
+    let url = Url::parse("rtsp://h/renewal/track1?group=a&top=2&viewer=1.0").unwrap();
+    let mut request = messages::request(method, &url, 7);
+    if let Some(session) = session {
+        request.insert_header(headers::SESSION, session);
+    }
+    if let Some(transport) = transport {
+        request.insert_header(headers::TRANSPORT, transport);
+    }
+    request
+}
+
+fn status(response: &Response) -> String {
+    let extra: Vec<String> = [headers::TRANSPORT, headers::RETRY_AFTER, headers::UNSUPPORTED]
+        .iter()
+        .filter_map(|name| messages::header(response, name).map(|value| format!(" {name}: {value}")))
+        .collect();
+    format!("{}{}", u16::from(response.status()), extra.concat())
+}
+
+fn step(step: &Step) -> String {
+    match step {
+        Step::Reply(response) => status(response),
+        Step::Ask(asked) => format!(
+            "asks for {} group {:?} top {:?} rest {}",
+            asked.title, asked.group, asked.top, asked.rest
+        ),
+        Step::Play { range } => format!("plays {range:?}"),
+        Step::Pause => "pauses".into(),
+        Step::Leave(response) => format!("leaves, {}", status(response)),
+    }
+}
+
+const TCP: &str = "RTP/AVP/TCP;unicast;interleaved=4-5";
+
+fn in_state(state: State) -> Server {
+    let mut server = Server::new(60, 90_000);
+    if state != State::Init {
+        server.request(&request(Method::Setup, None, Some(TCP)), |_| true);
+        server.granted("abc".into(), 0x1234);
+    }
+    if state == State::Playing {
+        server.request(&request(Method::Play, Some("abc"), None), |_| true);
+        server.plays(None, None);
+    }
+    server
+}
+
+#[test]
+fn every_method_in_every_state() {
+    let methods = [
+        Method::Options,
+        Method::Describe,
+        Method::Announce,
+        Method::Setup,
+        Method::Play,
+        Method::Pause,
+        Method::GetParameter,
+        Method::SetParameter,
+        Method::Record,
+        Method::Redirect,
+        Method::Teardown,
+    ];
+    let mut table = String::new();
+    for method in methods {
+        let answers = [State::Init, State::Ready, State::Playing].map(|state| {
+            let session = (state != State::Init).then_some("abc");
+            step(&in_state(state).request(&request(method.clone(), session, Some(TCP)), |_| true))
+        });
+        table += &format!("{}: {}\n", <&str>::from(&method), answers.join(" | "));
+    }
+    expect![[r#"
+        OPTIONS: 200 | 200 | 200
+        DESCRIBE: 200 | 200 | 200
+        ANNOUNCE: 501 | 501 | 501
+        SETUP: asks for renewal group Some("a") top Some(2) rest viewer=1.0 | 459 | 459
+        PLAY: 455 | plays None | plays None
+        PAUSE: 455 | 455 | pauses
+        GET_PARAMETER: 200 | 200 | 200
+        SET_PARAMETER: 501 | 501 | 501
+        RECORD: 501 | 501 | 501
+        REDIRECT: 501 | 501 | 501
+        TEARDOWN: 454 | leaves, 200 | leaves, 200
+    "#]]
+    .assert_eq(&table);
+}
+
+#[test]
+fn what_is_wrong_with_a_request_has_its_own_answer() {
+    let mut told = String::new();
+    let mut tell = |what: &str, answer: Step| told += &format!("{what}: {}\n", step(&answer));
+    let setup = |transport: &str| request(Method::Setup, None, Some(transport));
+    tell("udp", in_state(State::Init).request(&setup("RTP/AVP;unicast;client_port=5000-5001"), |_| true));
+    tell("udp, then tcp", in_state(State::Init).request(&setup(&format!("RTP/AVP;unicast,{TCP}")), |_| true));
+    tell("no transport", in_state(State::Init).request(&request(Method::Setup, None, None), |_| true));
+    tell("unknown title", in_state(State::Init).request(&setup(TCP), |_| false));
+    tell("wrong session", in_state(State::Ready).request(&request(Method::Play, Some("x"), None), |_| true));
+    tell("no session", in_state(State::Ready).request(&request(Method::Play, None, None), |_| true));
+    let mut required = setup(TCP);
+    required.insert_header(headers::REQUIRE, "com.example.x");
+    tell("required", in_state(State::Init).request(&required, |_| true));
+    let mut bare = setup(TCP);
+    bare.remove_header(&headers::CSEQ);
+    tell("no CSeq", in_state(State::Init).request(&bare, |_| true));
+    let mut server = in_state(State::Init);
+    server.request(&setup(TCP), |_| true);
+    tell("busy", Step::Reply(server.turned_away(StatusCode::ServiceUnavailable, Some(1.2))));
+    expect![[r#"
+        udp: 461
+        udp, then tcp: asks for renewal group Some("a") top Some(2) rest viewer=1.0
+        no transport: 461
+        unknown title: 404
+        wrong session: 454
+        no session: 454
+        required: 551 Unsupported: com.example.x
+        no CSeq: 400
+        busy: 503 Retry-After: 2
+    "#]]
+    .assert_eq(&told);
+}
+
+#[test]
+fn transports_are_taken_in_order_of_preference() {
+    let left_out = Channels { rtp: 0, rtcp: 1 };
+    let told: Vec<String> = [
+        "RTP/AVP/TCP",
+        "RTP/AVP/TCP;interleaved=6",
+        "RTP/AVP/TCP;interleaved=6-9",
+        "RTP/AVP/TCP;interleaved=255",
+        "RTP/AVP/TCP;interleaved=300-301",
+        "RTP/AVP/TCP;interleaved=3-3",
+        "RTP/AVP/TCP;multicast",
+        "RTP/AVP/UDP;unicast",
+    ]
+    .iter()
+    .map(|t| format!("{t} -> {:?}", messages::interleaved(t, left_out).map(|c| (c.rtp, c.rtcp))))
+    .collect();
+    expect![[r#"
+        RTP/AVP/TCP -> Some((0, 1))
+        RTP/AVP/TCP;interleaved=6 -> Some((6, 7))
+        RTP/AVP/TCP;interleaved=6-9 -> Some((6, 9))
+        RTP/AVP/TCP;interleaved=255 -> None
+        RTP/AVP/TCP;interleaved=300-301 -> None
+        RTP/AVP/TCP;interleaved=3-3 -> None
+        RTP/AVP/TCP;multicast -> None
+        RTP/AVP/UDP;unicast -> None"#]]
+    .assert_eq(&told.join("\n"));
+}
+
+fn packet(seq: u16, ts: u32, ssrc: u32) -> Vec<u8> {
+    let mut packet = vec![0x80, 96];
+    packet.extend(seq.to_be_bytes());
+    packet.extend(ts.to_be_bytes());
+    packet.extend(ssrc.to_be_bytes());
+    packet
+}
+
+#[test]
+fn one_stream_across_renditions_wraps_and_reordering() {
+    let mut rewriter = Rewriter::new(0xA, 90_000);
+    let mut told = String::new();
+    // Time in ms, then what the node sends. A new SSRC is another rendition.
+    for (ms, seq, ts, ssrc) in [
+        (0, 65_534, 1000, 1),
+        (20, 65_535, 2800, 1),
+        (40, 1, 6400, 1),
+        (45, 0, 4600, 1),
+        (100, 500, 77, 2),
+        (120, 501, 1877, 2),
+        (200, 9, u32::MAX - 10, 3),
+        (220, 10, 1789, 3),
+    ] {
+        let mut packet = packet(seq, ts, ssrc);
+        assert!(rewriter.rtp(&mut packet, ms * 1000));
+        let word = |at: usize| u32::from_be_bytes(packet[at..at + 4].try_into().unwrap());
+        told += &format!("{ms}: seq {} ts {} ssrc {:x}\n", word(0) & 0xffff, word(4), word(8));
+    }
+    expect![[r#"
+        0: seq 65534 ts 1000 ssrc a
+        20: seq 65535 ts 2800 ssrc a
+        40: seq 1 ts 6400 ssrc a
+        45: seq 0 ts 4600 ssrc a
+        100: seq 2 ts 11800 ssrc a
+        120: seq 3 ts 13600 ssrc a
+        200: seq 4 ts 20800 ssrc a
+        220: seq 5 ts 22600 ssrc a
+    "#]]
+    .assert_eq(&told);
+    assert!(!rewriter.rtp(&mut [0x80; 5], 0), "too short to be RTP");
+    assert!(
+        !rewriter.rtp(&mut packet(1, 1, 1).iter().map(|b| b & 0x3f).collect::<Vec<_>>(), 0),
+        "another version"
+    );
+}
+
+#[test]
+fn what_was_delivered_shows_in_the_headers() {
+    // 50 packets a second; each carries 20 ms.
+    let share = |kept: fn(u32) -> bool, pace: f64| {
+        let mut meter = Meter::new(90_000, 0);
+        meter.saw(&packet(0, 0, 1));
+        for n in 1..=(50.0 * pace) as u32 {
+            if kept(n) {
+                meter.saw(&packet(n as u16, n * 1800, 1));
+            }
+        }
+        format!("{:.2}", meter.take(1_000_000).share)
+    };
+    let told =
+        [share(|_| true, 1.0), share(|n| n % 2 == 0, 1.0), share(|_| true, 0.45), share(|_| false, 1.0)];
+    expect!["1.00 0.51 0.49 0.00"].assert_eq(&told.join(" "));
+    let mut meter = Meter::new(90_000, 0);
+    assert_eq!(meter.take(1_000_000).share, 0.0, "a node that sends nothing delivers nothing");
+}
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -22,3 +22,6 @@
 
 /// The compiled schemas, for reading text.
 pub(crate) const SCHEMA: &[u8] = include_bytes!(concat!(env!("OUT_DIR"), "/schema.bin"));
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/settings/src/tests.rs
@@ -0,0 +1,133 @@
+use expect_test::expect;
+
+use super::*;
+
+const GOOD: &str = r#"zone: "a" zone: "b"
+model { name: "small" places: 24 }
+rung { kb_per_s: 100 utility: 0.3 }
+rung { kb_per_s: 200 utility: 1 }
+group {
+  name: "lesson" start_target_ms: 1000
+  setup_timeout_ms: 4000 # as agreed
+  utility: 2 care: SAFE
+}
+title { name: "renewal" home: 0 copies: 2 }
+links { unit_kb_per_s: 160 cells: 3 racks: 1 }
+limits { setups_per_session: 3 answer_margin_ms: 200 most_sessions: 100 }
+cold { from: 0.4 warm_after_ms: 4000 fall_multiple: 3 fall_span_ms: 2000 }
+reports { probe_timeout_ms: 250 notice_ms: 1000 }
+director { number: 0 directors: 2 zone: "b" seed: 1 }
+front {
+  listen: "127.0.0.1:8554" default_group: "lesson" most_connections: 10
+  session_timeout_s: 60 write_timeout_ms: 5000 connect_timeout_ms: 250 answer_timeout_ms: 2000
+  idle_connections: 4 keep_alive_ms: 2000 drain_ms: 3000 list_poll_ms: 100
+}
+box_list: "boxes.txtpb"
+"#;
+
+#[test]
+fn settings_become_the_headend() {
+    let read = settings("h.txtpb", GOOD).unwrap();
+    let h = &read.headend;
+    let text = format!(
+        "director {} of {} in zone {}; {:?}; {} holds cells {}+{}; margin {} ms",
+        h.me,
+        h.directors,
+        h.zone.0,
+        h.ladder,
+        read.titles.keys().next().unwrap(),
+        read.titles["renewal"].home.0,
+        read.titles["renewal"].copies,
+        read.answer_margin.as_ms()
+    );
+    expect![
+        "director 0 of 2 in zone 1; [(100.0, 0.3), (200.0, 1.0)]; renewal holds cells 0+2; margin 200 ms"
+    ]
+    .assert_eq(&text);
+}
+
+#[test]
+fn errors_name_file_line_and_field() {
+    let cases = [
+        ("places: 24", "places: 0"),
+        ("places: 24", "places: many"),
+        ("places: 24", "place: 24"),
+        ("kb_per_s: 200", "kb_per_s: 50"),
+        ("setup_timeout_ms: 4000", "setup_timeout_ms: 900"),
+        ("setup_timeout_ms: 4000", ""),
+        ("care: SAFE", ""),
+        ("care: SAFE", "care: DEDUP"),
+        ("utility: 2", "utility: nan"),
+        ("home: 0", "home: 3"),
+        ("\"renewal\"", "\"a/b\""),
+        ("zone: \"b\" seed", "zone: \"c\" seed"),
+        ("answer_margin_ms: 200", "answer_margin_ms: 2100"),
+        ("number: 0", "number: 2"),
+        ("\"127.0.0.1:8554\"", "\"here\""),
+        ("front {", "front { { "),
+        ("box_list: \"boxes.txtpb\"", ""),
+        ("zone: \"a\" zone: \"b\"", "zone: \"b\" zone: \"b\""),
+    ];
+    let mut told = String::new();
+    for (from, to) in cases {
+        let text = GOOD.replacen(from, to, 1);
+        assert_ne!(text, GOOD, "{from} is in the text");
+        told += &match settings("h.txtpb", &text) {
+            Ok(_) => format!("{to} was taken\n"),
+            Err(trouble) => format!("{trouble}\n"),
+        };
+    }
+    expect![[r#"
+        h.txtpb:2: model[0].places: is 0; 1 to 1000000 is wanted
+        h.txtpb:2: expected an integer, but found 'many'
+        h.txtpb:2: field 'place' not found for message 'ashglade.headend.Model'
+        h.txtpb:4: rung[1].kb_per_s: the ladder must rise from rung to rung
+        h.txtpb:7: group[0].setup_timeout_ms: is 900; 1000 to 86400000 is wanted
+        h.txtpb:5: group[0].setup_timeout_ms: is left out
+        h.txtpb:5: group[0].care: is left out: SAFE, DEDUP or FRAGILE
+        h.txtpb:5: group[0].repeat_window_ms: is left out
+        h.txtpb:8: group[0].utility: is NaN; 0.000001 to 1000000 is wanted
+        h.txtpb:10: title[0].home: is 3; 0 to 2 is wanted
+        h.txtpb:10: title[0].name: must be a plain part of a URL's path
+        h.txtpb:15: director.zone: names "c"; there is a, b
+        h.txtpb:7: group[0].setup_timeout_ms: must be at least twice limits.answer_margin_ms, or no request could be answered in time
+        h.txtpb:15: director.number: is 2; 0 to 1 is wanted
+        h.txtpb:17: front.listen: "here" is no address and port, as 127.0.0.1:8554
+        h.txtpb:16: expected '}' or a field name, but found '{'
+        h.txtpb:1: box_list: is left out
+        h.txtpb:1: zone[1]: "b" is there twice
+    "#]].assert_eq(&told);
+}
+
+#[test]
+fn a_box_list_reads_back_as_written_and_errors_name_the_field() {
+    let names = settings("h.txtpb", GOOD).unwrap().names;
+    let text = r#"generation: 4
+box { name: "n1" address: "127.0.0.1:9001" zone: "a" model: "small" cell: 1 weight: 2.5 started_ms: 77 }
+box { name: "n2" address: "[::1]:9002" zone: "b" model: "small" cell: 2 weight: 1 standing: DRAINING }
+"#;
+    let list = boxes("b.txtpb", text, &names).unwrap();
+    assert_eq!(boxes("b.txtpb", &write_boxes(&list, &names), &names).unwrap(), list);
+    let mut told = String::new();
+    for (from, to) in [
+        ("generation: 4", ""),
+        ("cell: 2", "cell: 3"),
+        ("model: \"small\" cell: 2", "model: \"big\" cell: 2"),
+        ("127.0.0.1:9001", "node-1"),
+        ("weight: 1 ", "weight: -1 "),
+        ("standing: DRAINING", "standing: AWAY"),
+        ("standing: DRAINING }", ""),
+    ] {
+        told += &format!("{}\n", boxes("b.txtpb", &text.replacen(from, to, 1), &names).unwrap_err());
+    }
+    expect![[r#"
+        b.txtpb:1: generation: is left out
+        b.txtpb:3: box[1].cell: is 3; 0 to 2 is wanted
+        b.txtpb:3: box[1].model: names "big"; there is small
+        b.txtpb:2: box[0].address: "node-1" is no address and port, as 127.0.0.1:8554
+        b.txtpb:3: box[1].weight: is -1; 0.000001 to 1000000000 is wanted
+        b.txtpb:3: value 'AWAY' was not found for enum 'ashglade.boxes.Standing'
+        b.txtpb:4: expected '}' or a field name, but reached end of input
+    "#]]
+    .assert_eq(&told);
+}
