--- a/crates/director/src/viewer.rs
+++ b/crates/director/src/viewer.rs
@@ -456,8 +456,9 @@
         if node.overdue(&shared) {
             return self.node_lost(Ending::Silent).await;
         }
-        if self.server.state() == State::Playing {
-            let flow = live.meter.take(shared.clock.micros());
+        if self.server.state() == State::Playing
+            && let Some(flow) = live.meter.take(shared.clock.micros())
+        {
             shared.core.tell(Input::Flow { sess: live.sess, share: flow.share }).await;
         }
         if live.kept_alive.elapsed() >= shared.settings.front.keep_alive {
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -4,6 +4,7 @@
 mod day;
 mod directors;
 mod lists;
+mod measure;
 mod play;
 mod trouble;
 
@@ -39,6 +40,14 @@
     Judge { traffic: PathBuf },
     /// Writes a day file, scaled to one machine, with the troubles of a day that the bench drew.
     FromBench { day: PathBuf },
+    /// Measures what the way through a director costs, against the straight way.
+    Measure {
+        #[arg(long, default_value = "target/measure")]
+        out: PathBuf,
+    },
+    /// A plain relay, to measure against.
+    #[command(hide = true)]
+    Copy { from: std::net::SocketAddr },
     /// One director, as the lab starts it.
     #[command(hide = true)]
     Director {
@@ -57,6 +66,8 @@
             print!("{text}");
             true
         }),
+        Command::Measure { out } => run(measure::measure(&out)).map(|()| true),
+        Command::Copy { from } => run(measure::copy(from)).map(|()| true),
         Command::Director { settings, record } => {
             tracing_subscriber::fmt().with_ansi(false).with_writer(std::io::stderr).init();
             run(async {
--- a/crates/lab/src/play.rs
+++ b/crates/lab/src/play.rs
@@ -151,7 +151,7 @@
     judge::judge(&Traffic { plan: plan.clone(), sights })
 }
 
-fn scratch(out: &Path) -> Result<Log, String> {
+pub fn scratch(out: &Path) -> Result<Log, String> {
     let empty = Plan {
         groups: Vec::new(),
         nodes: Vec::new(),
@@ -167,7 +167,7 @@
 }
 
 /// Nodes one after the other over zones and cells.
-fn nodes(day: &Day, settings: &Settings) -> (Vec<Spec>, Vec<Entry>) {
+pub fn nodes(day: &Day, settings: &Settings) -> (Vec<Spec>, Vec<Entry>) {
     let head = &settings.headend;
     let (mut specs, mut entries) = (Vec::new(), Vec::new());
     for kind in &day.nodes {
--- a/crates/rtsp/src/rewrite.rs
+++ b/crates/rtsp/src/rewrite.rs
@@ -95,8 +95,15 @@
     got: u32,
     named: u32,
     ticks: u32,
+    /// Ticks from packet to packet, smoothed; 0 while not known.
+    step: u32,
 }
 
+/// A span that should have brought fewer packets tells nothing yet, and goes on.
+const FEWEST: u64 = 5;
+/// One in which nothing came while the pace isn't known ends after so long, in microseconds.
+const UNKNOWN: u64 = 2_000_000;
+
 /// One span as a [`Meter`] saw it.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Flow {
@@ -107,7 +114,17 @@
 
 impl Meter {
     pub fn new(clock_rate: u32, now_us: u64) -> Meter {
-        Meter { clock_rate, source: None, from_us: now_us, seq: 0, ts: 0, got: 0, named: 0, ticks: 0 }
+        Meter {
+            clock_rate,
+            source: None,
+            from_us: now_us,
+            seq: 0,
+            ts: 0,
+            got: 0,
+            named: 0,
+            ticks: 0,
+            step: 0,
+        }
     }
 
     pub fn saw(&mut self, packet: &[u8]) {
@@ -126,19 +143,33 @@
         if ticks < 0x8000_0000 {
             self.ticks = self.ticks.saturating_add(ticks);
             self.ts = ts;
+            // Packets of one frame share a timestamp; numbers that are missing had their share of the ticks.
+            if ahead > 0 && ahead < 0x8000 {
+                let step = ticks / u32::from(ahead);
+                self.step = if self.step == 0 { step } else { self.step - self.step / 8 + step / 8 };
+            }
         }
     }
 
-    /// Ends a span and begins the next.
-    pub fn take(&mut self, now_us: u64) -> Flow {
-        let wanted = (now_us.saturating_sub(self.from_us)) as f64 * f64::from(self.clock_rate) / 1e6;
+    /// Ends a span and begins the next; none while too little should have come to tell.
+    pub fn take(&mut self, now_us: u64) -> Option<Flow> {
+        let passed = now_us.saturating_sub(self.from_us);
+        let due = passed * u64::from(self.clock_rate) / 1_000_000;
+        let enough = match self.step {
+            0 => passed >= UNKNOWN,
+            step => due >= FEWEST * u64::from(step),
+        };
+        if !enough {
+            return None;
+        }
+        let wanted = due as f64;
         let arrived =
             if self.named == 0 { 0.0 } else { f64::from(self.got.min(self.named)) / f64::from(self.named) };
         // Packets come in steps: a tenth of the span is allowed to be still on the way.
         let kept_up = if wanted <= 0.0 { 1.0 } else { (f64::from(self.ticks) / (0.9 * wanted)).min(1.0) };
         let flow = Flow { share: arrived * kept_up, packets: self.got };
         (self.from_us, self.got, self.named, self.ticks) = (now_us, 0, 0, 0);
-        flow
+        Some(flow)
     }
 
     /// Begins a span anew, after a pause.
--- a/crates/standin/src/connection.rs
+++ b/crates/standin/src/connection.rs
@@ -59,7 +59,12 @@
             && let Some(request) = backlog.pop_front()
         {
             match this.handle(&request) {
-                Reply::Now(response) => late = Some((Instant::now(), response)),
+                Reply::Now(response) => {
+                    this.answers(&response);
+                    if framed.send(Packet::Response(response)).await.is_err() {
+                        break;
+                    }
+                }
                 Reply::At(at, response) => late = Some((at, response)),
                 Reply::Lost => {}
                 Reply::Reset => {
