Whole path: two tracks, RTCP, RTP-Info, digest, redirect, and a ledger of sessions at nodes

A second track joins the session where it is: the module is asked once. Sender reports fit the viewer's stream, receiver reports count for the delivered share, BYE ends a session. Sessions at nodes are written in a ledger: what is lost with a connection, or with the director, is torn down later, a call at a time while a node is away.

--- a/crates/director/src/attempt.rs
+++ b/crates/director/src/attempt.rs
@@ -8,10 +8,10 @@
 use ashglade::ids::{Sess, SetupNo};
 use ashglade::interface::Ending;
 use ashglade_engine::{Input, Load};
-use ashglade_rtsp::messages::{self, Channels};
-use ashglade_rtsp::{Packet, Response};
+use ashglade_rtsp::client::{Answer, Client};
+use ashglade_rtsp::{Packet, Response, messages};
 use futures_util::{SinkExt, StreamExt};
-use rtsp_types::{Method, StatusCode, Url, headers};
+use rtsp_types::{StatusCode, Url};
 use tokio::task::JoinHandle;
 
 use crate::node::NodeSide;
@@ -28,10 +28,21 @@
     written: Arc<AtomicBool>,
 }
 
+/// What is to be set up where.
+pub struct Wanted {
+    pub sess: Sess,
+    pub setup: SetupNo,
+    pub node: SocketAddr,
+    pub url: Url,
+    /// The track that the viewer begins with.
+    pub track: u8,
+}
+
 impl Attempt {
-    pub fn start(shared: Arc<Shared>, sess: Sess, setup: SetupNo, node: SocketAddr, url: Url) -> Attempt {
+    pub fn start(shared: Arc<Shared>, wanted: Wanted) -> Attempt {
         let written = Arc::new(AtomicBool::new(false));
-        let task = tokio::spawn(send(shared, sess, setup, node, url, written.clone()));
+        let setup = wanted.setup;
+        let task = tokio::spawn(send(shared, wanted, written.clone()));
         Attempt { setup, task, written }
     }
 
@@ -55,20 +66,12 @@
     }
 }
 
-async fn send(
-    shared: Arc<Shared>,
-    sess: Sess,
-    setup: SetupNo,
-    node: SocketAddr,
-    url: Url,
-    written: Arc<AtomicBool>,
-) -> Outcome {
+async fn send(shared: Arc<Shared>, wanted: Wanted, written: Arc<AtomicBool>) -> Outcome {
+    let Wanted { sess, setup, node, url, track } = wanted;
     let connection = shared.pool.connect(node, shared.settings.front.connect_timeout).await;
     let mut connection = connection.map_err(|_| (Ending::Unreachable, None))?;
-    let channels = Channels { rtp: 0, rtcp: 1 };
-    let cseq = 1;
-    let mut request = messages::request(Method::Setup, &url, cseq);
-    request.insert_header(headers::TRANSPORT, channels.granted(None));
+    let mut client = Client::new(url);
+    let request = client.setup(track, shared.clock.micros());
     written.store(true, Ordering::SeqCst);
     shared.core.tell(Input::Written { sess, setup }).await;
     let lost = |_| (Ending::Lost, None);
@@ -76,25 +79,19 @@
     loop {
         let packet = connection.next().await.ok_or((Ending::Lost, None))?.map_err(lost)?;
         let Packet::Response(response) = packet else { continue };
-        if messages::header(&response, &headers::CSEQ) != Some(&cseq.to_string()) {
-            continue;
-        }
         let load = load(&response);
-        let session = messages::header(&response, &headers::SESSION).map(messages::session_id);
-        return match (response.status(), session) {
-            (StatusCode::Ok, Some(session)) => {
-                let granted = messages::header(&response, &headers::TRANSPORT);
-                let channels = granted.and_then(|t| messages::interleaved(t, channels)).unwrap_or(channels);
-                let side = NodeSide::new(node, connection, url, session.to_string(), channels, cseq);
-                Ok((Box::new(side), load))
+        match client.answered(&response) {
+            Answer::Done(_) => {
+                let side = NodeSide::hold(&shared, node, connection, client).await;
+                return Ok((Box::new(side), load));
             }
-            (StatusCode::NotEnoughBandwidth | StatusCode::ServiceUnavailable, _) => {
+            Answer::Refused(_, StatusCode::NotEnoughBandwidth | StatusCode::ServiceUnavailable) => {
                 shared.pool.put(node, connection);
-                Err((Ending::Full, load))
+                return Err((Ending::Full, load));
             }
-            // An answer of 200 that names no session is a fault like any other: the connection is closed.
-            _ => Err((Ending::Fault, load)),
-        };
+            Answer::Refused(..) => return Err((Ending::Fault, load)),
+            Answer::Stray => {}
+        }
     }
 }
 
--- a/crates/director/src/core.rs
+++ b/crates/director/src/core.rs
@@ -6,14 +6,16 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use ashglade::ids::{Rung, Sess, SetupNo};
+use ashglade::ids::{Node, Rung, Sess, SetupNo};
 use ashglade::interface::Ending;
 use ashglade::time::Instant;
 use ashglade_engine::record::{Head, Line};
 use ashglade_engine::{Answer, Effect, Engine, Input, Start, Tally};
+use ashglade_ledger::{Held, Ledger, Outcome, pages};
 use tokio::sync::{mpsc, oneshot, watch};
 use tracing::{debug, info, warn};
 
+use crate::owed;
 use crate::probe;
 use crate::serve::Shared;
 
@@ -45,6 +47,52 @@
     /// The session's task needs no more orders.
     Close(Sess),
     Tally(oneshot::Sender<(Tally, usize)>),
+    Page(Page),
+}
+
+/// What concerns the ledger of sessions at nodes.
+pub enum Page {
+    Hold(Sess, Held),
+    Ended(Sess),
+    Owe(Sess),
+    Told(Sess, Outcome),
+}
+
+/// The ledger and where it is written.
+pub struct Book {
+    pub ledger: Ledger,
+    pub file: Option<std::fs::File>,
+}
+
+impl Book {
+    fn write(&mut self, line: &pages::Line) {
+        // Written at once: a kill must not take it along.
+        if let Some(file) = &mut self.file
+            && let Err(error) = file.write_all(pages::write(line).as_bytes())
+        {
+            warn!(%error, "the ledger can't be written; it is kept in memory alone");
+            self.file = None;
+        }
+    }
+
+    fn take(&mut self, page: Page, now: Instant) {
+        match page {
+            Page::Hold(key, held) => {
+                self.write(&pages::Line::Held(key, held.clone()));
+                self.ledger.hold(key, held);
+            }
+            Page::Ended(key) => {
+                self.ledger.ended(key);
+                self.write(&pages::Line::Struck(key));
+            }
+            Page::Owe(key) => self.ledger.owe(key, now),
+            Page::Told(key, outcome) => {
+                if self.ledger.told(key, outcome, now) {
+                    self.write(&pages::Line::Struck(key));
+                }
+            }
+        }
+    }
 }
 
 /// How other tasks reach the engine.
@@ -82,6 +130,7 @@
     /// What came of the last round's effects at once.
     next: Vec<Input>,
     record: Option<std::io::BufWriter<std::fs::File>>,
+    book: Book,
     drained: watch::Sender<bool>,
 }
 
@@ -91,6 +140,7 @@
     start: Start,
     mut commands: mpsc::Receiver<Command>,
     record: Option<std::fs::File>,
+    book: Book,
     drained: watch::Sender<bool>,
 ) {
     let clock = shared.clock;
@@ -100,11 +150,12 @@
         write_line(file, &Head { started: begun });
     }
     let engine = Engine::start(start, begun);
-    let mut this = Loop { engine, shared, sessions: HashMap::new(), next: Vec::new(), record, drained };
+    let mut this = Loop { engine, shared, sessions: HashMap::new(), next: Vec::new(), record, book, drained };
     let mut taken = Vec::with_capacity(ROUND);
     let mut flushed = clock.now();
     loop {
-        let due = this.engine.next_due().map(|at| clock.at(at));
+        let due = this.engine.next_due().into_iter().chain(this.book.ledger.next_due()).min();
+        let due = due.map(|at| clock.at(at));
         let wait = async {
             match due {
                 Some(at) => tokio::time::sleep_until(at).await,
@@ -120,6 +171,7 @@
         let mut inputs = std::mem::take(&mut this.next);
         inputs.extend(taken.drain(..).filter_map(|command| this.admit(command)));
         this.round(clock.now(), inputs);
+        this.tear_down_owed(clock.now());
         if clock.now() - flushed > ashglade::time::Span::from_secs(1.0)
             && let Some(file) = &mut this.record
         {
@@ -141,6 +193,10 @@
                 self.sessions.remove(&sess);
                 None
             }
+            Command::Page(page) => {
+                self.book.take(page, self.shared.clock.now());
+                None
+            }
             Command::Tally(reply) => {
                 let _ = reply.send((self.engine.tally().clone(), self.engine.in_hand()));
                 None
@@ -148,6 +204,28 @@
         }
     }
 
+    fn tear_down_owed(&mut self, now: Instant) {
+        let (calls, struck) = self.book.ledger.calls(now);
+        for key in struck {
+            self.book.write(&pages::Line::Struck(key));
+        }
+        for call in calls {
+            debug!(node = %call.held.address, "a tear-down that is owed");
+            tokio::spawn(owed::call(self.shared.clone(), call));
+        }
+    }
+
+    /// What nodes lost by starting again is not owed any longer.
+    fn nodes_started(&mut self) {
+        let starts: Vec<(Node, Instant)> =
+            self.engine.roster().nodes().filter_map(|(&n, entry)| Some((n, entry.place.started?))).collect();
+        for (node, at) in starts {
+            for key in self.book.ledger.started(node, at) {
+                self.book.write(&pages::Line::Struck(key));
+            }
+        }
+    }
+
     fn round(&mut self, now: Instant, inputs: Vec<Input>) {
         let recorded = self.record.is_some().then(|| inputs.clone());
         let effects = self.engine.round(now, inputs);
@@ -192,7 +270,10 @@
                     None => self.next.push(Input::Probed { probe, load: None }),
                 }
             }
-            Effect::Listed { generation, refused: None } => info!(generation, "box list taken"),
+            Effect::Listed { generation, refused: None } => {
+                info!(generation, "box list taken");
+                self.nodes_started();
+            }
             Effect::Listed { generation, refused: Some(why) } => {
                 warn!(generation, why, "box list left out; the one held stays in force");
             }
--- a/crates/director/src/lib.rs
+++ b/crates/director/src/lib.rs
@@ -5,9 +5,11 @@
 mod clock;
 mod core;
 mod node;
+mod owed;
 mod pool;
 mod probe;
 mod serve;
+mod session;
 mod viewer;
 
 pub use clock::Clock;
--- a/crates/director/src/serve.rs
+++ b/crates/director/src/serve.rs
@@ -1,11 +1,14 @@
 //! Starting, listening, following the box list, stopping.
 
 use std::path::{Path, PathBuf};
-use std::sync::atomic::AtomicU64;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 
+use ashglade::ids::Sess;
 use ashglade_engine::{Input, Start};
+use ashglade_ledger::{Ledger, Terms, pages};
 use ashglade_roster::List;
+use ashglade_rtsp::digest::Users;
 use ashglade_settings::{Names, Settings};
 use tokio::net::TcpListener;
 use tokio::signal::unix::{SignalKind, signal};
@@ -13,7 +16,7 @@
 use tracing::{info, warn};
 
 use crate::clock::Clock;
-use crate::core::{self, Core};
+use crate::core::{self, Book, Core};
 use crate::pool::Pool;
 use crate::viewer;
 
@@ -23,11 +26,19 @@
     pub clock: Clock,
     pub pool: Pool,
     pub settings: Settings,
-    pub next_sess: AtomicU64,
+    /// Set when the director drains.
+    pub draining: watch::Sender<bool>,
+    pub users: Option<Arc<Users>>,
+    next_sess: AtomicU64,
     random: Mutex<oorandom::Rand64>,
 }
 
 impl Shared {
+    /// A number that no other session has, also not of the director before this one.
+    pub fn new_sess(&self) -> Sess {
+        Sess(self.next_sess.fetch_add(1, Ordering::Relaxed))
+    }
+
     /// For names of sessions and SSRCs, which only have to differ.
     pub fn random(&self) -> u64 {
         self.random.lock().unwrap_or_else(|broken| broken.into_inner()).rand_u64()
@@ -42,6 +53,8 @@
     Settings(#[from] ashglade_settings::Trouble),
     #[error("{path}: {source}")]
     List { path: PathBuf, source: ashglade_roster::Refusal },
+    #[error("{path}: {source}")]
+    Ledger { path: PathBuf, source: pages::Trouble },
     #[error("listening at {address}: {source}")]
     Listen { address: std::net::SocketAddr, source: std::io::Error },
     #[error("signals can't be caught: {0}")]
@@ -103,6 +116,8 @@
         clock,
         pool: Pool::new(settings.front.idle_connections),
         settings: settings.clone(),
+        draining: watch::channel(false).0,
+        users: settings.front.users.clone().map(|(realm, users)| Arc::new(Users { realm, users })),
         next_sess: AtomicU64::new(started << 20),
         random: Mutex::new(oorandom::Rand64::new(
             u128::from(started) << 64 | u128::from(settings.headend.seed),
@@ -110,7 +125,8 @@
     });
     let (drained, mut is_drained) = watch::channel(false);
     shared.core.tell(Input::List(list.clone())).await;
-    tokio::spawn(core::run(shared.clone(), replay_start(&settings), commands, record, drained));
+    let book = book(&settings, &options.settings, clock.now())?;
+    tokio::spawn(core::run(shared.clone(), replay_start(&settings), commands, record, book, drained));
     tokio::spawn(follow(shared.clone(), boxes, settings.names.clone()));
     info!(%address, director = settings.headend.me, nodes = list.entries.len(), "serving");
 
@@ -144,6 +160,7 @@
     drop(listener);
     info!("draining: nothing new is taken");
     shared.core.tell(Input::Drain).await;
+    let _ = shared.draining.send(true);
     tokio::select! {
         _ = is_drained.wait_for(|&drained| drained) => {}
         () = tokio::time::sleep(shared.settings.front.drain) => info!("the time to drain is over"),
@@ -157,6 +174,29 @@
     Ok(())
 }
 
+/// Opens the ledger, with what the director before this one left in it, and begins its pages anew.
+fn book(settings: &Settings, path: &Path, now: ashglade::time::Instant) -> Result<Book, Trouble> {
+    let mut ledger = Ledger::new(Terms::default(), settings.headend.seed);
+    let Some(name) = &settings.front.ledger else { return Ok(Book { ledger, file: None }) };
+    let path = path.parent().unwrap_or(Path::new(".")).join(name);
+    let trouble = |source| Trouble::Read { path: path.clone(), source };
+    let open = match std::fs::read_to_string(&path) {
+        Ok(text) => pages::open(&text).map_err(|source| Trouble::Ledger { path: path.clone(), source })?,
+        Err(error) if error.kind() == std::io::ErrorKind::NotFound => Default::default(),
+        Err(error) => return Err(trouble(error)),
+    };
+    let beside = path.with_extension("new");
+    let lines: String =
+        open.iter().map(|(&key, held)| pages::write(&pages::Line::Held(key, held.clone()))).collect();
+    std::fs::write(&beside, lines).and_then(|()| std::fs::rename(&beside, &path)).map_err(trouble)?;
+    let file = std::fs::OpenOptions::new().append(true).open(&path).map_err(trouble)?;
+    if !open.is_empty() {
+        info!(sessions = open.len(), "tear-downs owed by the director before this one");
+    }
+    open.into_iter().for_each(|(key, held)| ledger.inherit(key, held, now));
+    Ok(Book { ledger, file: Some(file) })
+}
+
 /// Reads the box list again whenever it has changed. What can't be read, or is refused, leaves the list in force.
 async fn follow(shared: Arc<Shared>, path: PathBuf, names: Names) {
     let mut last = String::new();
--- a/crates/director/src/viewer.rs
+++ b/crates/director/src/viewer.rs
@@ -3,34 +3,33 @@
 
 use std::collections::VecDeque;
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use ashglade::ids::{Rung, Sess, SetupNo};
+use ashglade::ids::{Rung, SetupNo, Title};
 use ashglade::interface::Ending;
 use ashglade_engine::{Answer, Input, Want};
+use ashglade_rtsp::client::{self, Purpose};
 use ashglade_rtsp::presentation::Asked;
-use ashglade_rtsp::rewrite::{Meter, Rewriter};
 use ashglade_rtsp::server::{Server, State, Step};
-use ashglade_rtsp::{Codec, Fault, Packet, Request, Response, messages};
+use ashglade_rtsp::{Codec, Fault, Packet, Request, Response, messages, rtcp};
 use bytes::BytesMut;
 use futures_util::{SinkExt, StreamExt};
-use rtsp_types::{StatusCode, headers};
+use rtsp_types::{Method, StatusCode, Url, headers};
 use tokio::net::TcpStream;
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, watch};
 use tokio::time::Instant;
 use tokio_util::codec::Framed;
 use tracing::{debug, info};
 
-use crate::attempt::{self, Attempt, Outcome};
+use crate::attempt::{self, Attempt, Outcome, Wanted};
 use crate::core::{Command, ORDERS, Order};
-use crate::node::{NodeSide, Purpose};
 use crate::serve::Shared;
+use crate::session::{Frame, Live};
 
 /// Requests that wait behind one that is being answered, at most.
 const MOST_QUEUED: usize = 16;
 /// Frames passed on before they are flushed, at most.
-const BATCH: usize = 32;
+const BATCH: usize = 64;
 /// Between looks at what flowed, at idle time and at keep-alives.
 const TICK: Duration = Duration::from_secs(1);
 
@@ -39,23 +38,11 @@
     connection: Framed<TcpStream, Codec>,
     server: Server,
     queue: VecDeque<Request>,
-    live: Option<Live>,
+    live: Option<Box<Live>>,
     last_word: Instant,
-}
-
-/// A session, from its request to its end.
-struct Live {
-    sess: Sess,
-    asked: Asked,
-    orders: mpsc::Receiver<Order>,
-    attempt: Option<Attempt>,
-    node: Option<Box<NodeSide>>,
-    /// The rung that the engine wants, and the one that the node was told.
-    rung: u8,
-    told: u8,
-    rewriter: Rewriter,
-    meter: Meter,
-    kept_alive: Instant,
+    draining: watch::Receiver<bool>,
+    /// Requests of ours to the viewer.
+    cseq: u32,
 }
 
 /// The connection is at its end.
@@ -67,16 +54,22 @@
     Node(Option<Result<Packet, Fault>>),
     Setup(Outcome),
     Order(Option<Order>),
+    Draining,
     Tick,
 }
 
 pub async fn run(shared: Arc<Shared>, stream: TcpStream) {
-    let timeout = shared.settings.front.session_timeout.as_secs() as u32;
-    let server = Server::new(timeout, shared.settings.front.clock_rate);
+    let front = &shared.settings.front;
+    let mut server = Server::new(front.session_timeout.as_secs() as u32, &front.clock_rates);
+    if let Some(users) = &shared.users {
+        let nonce = format!("{:016x}{:016x}", shared.random(), shared.random());
+        server = server.guarded(users.clone(), nonce);
+    }
     let _ = stream.set_nodelay(true);
     let connection = Framed::new(stream, Codec::default());
-    let last_word = Instant::now();
-    let mut viewer = Viewer { shared, connection, server, queue: VecDeque::new(), live: None, last_word };
+    let (last_word, draining) = (Instant::now(), shared.draining.subscribe());
+    let (queue, live) = (VecDeque::new(), None);
+    let mut viewer = Viewer { shared, connection, server, queue, live, last_word, draining, cseq: 0 };
     let mut tick = tokio::time::interval(TICK);
     tick.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     loop {
@@ -114,6 +107,7 @@
             order = live.orders.recv() => Event::Order(order),
             outcome = attempt => Event::Setup(outcome),
             _ = tick.tick() => Event::Tick,
+            Ok(()) = self.draining.changed() => Event::Draining,
             packet = self.connection.next(), if reads => Event::Viewer(packet),
             packet = node => Event::Node(packet),
         }
@@ -133,8 +127,15 @@
                 self.last_word = Instant::now();
                 match packet {
                     Packet::Request(request) => self.queue.push_back(request),
-                    // Receiver reports keep the session alive; answers to nothing are passed over.
-                    Packet::Frame { .. } | Packet::Response(_) => {}
+                    Packet::Frame { channel, payload } => {
+                        if let (Some(live), Some(track)) =
+                            (&mut self.live, self.server.track_of_rtcp(channel))
+                        {
+                            live.reported(track, &payload);
+                        }
+                    }
+                    // To our REDIRECT; nothing hangs on it.
+                    Packet::Response(_) => {}
                 }
             }
             Event::Node(Some(Ok(packet))) => self.node_sent(packet).await?,
@@ -142,6 +143,7 @@
             Event::Setup(outcome) => self.setup_ended(outcome).await,
             Event::Order(Some(order)) => self.order(order).await?,
             Event::Order(None) => return Err(Closed),
+            Event::Draining => self.redirect().await?,
             Event::Tick => self.tick().await?,
         }
         while !self.server.waits()
@@ -154,15 +156,14 @@
 
     /// Sends what has been fed; a viewer that takes nothing for too long is dropped.
     async fn flush(&mut self) -> Result<(), Closed> {
-        let sent =
-            tokio::time::timeout(self.shared.settings.front.write_timeout, self.connection.flush()).await;
+        let within = self.shared.settings.front.write_timeout;
+        let sent = tokio::time::timeout(within, self.connection.flush()).await;
         matches!(sent, Ok(Ok(()))).then_some(()).ok_or(Closed)
     }
 
     async fn feed(&mut self, packet: Packet) -> Result<(), Closed> {
-        let fed =
-            tokio::time::timeout(self.shared.settings.front.write_timeout, self.connection.feed(packet))
-                .await;
+        let within = self.shared.settings.front.write_timeout;
+        let fed = tokio::time::timeout(within, self.connection.feed(packet)).await;
         matches!(fed, Ok(Ok(()))).then_some(()).ok_or(Closed)
     }
 
@@ -174,89 +175,70 @@
 
     async fn request(&mut self, request: Request) -> Result<(), Closed> {
         let titles = &self.shared.settings.titles;
-        match self.server.request(&request, |title| titles.contains_key(title)) {
-            Step::Reply(response) => self.reply(response).await,
-            Step::Ask(asked) => self.ask(asked).await,
-            Step::Play { range } => {
-                let shared = self.shared.clone();
-                let Some(node) = self.live.as_mut().and_then(|live| live.node.as_mut()) else {
-                    let response = self.server.failed(StatusCode::BadGateway);
-                    return self.reply(response).await;
-                };
-                match node.play(&shared, range).await {
-                    Ok(()) => Ok(()),
-                    Err(_) => self.node_lost(Ending::Lost).await,
-                }
-            }
-            Step::Pause => {
-                let shared = self.shared.clone();
-                let Some(node) = self.live.as_mut().and_then(|live| live.node.as_mut()) else {
-                    let response = self.server.failed(StatusCode::BadGateway);
-                    return self.reply(response).await;
-                };
-                match node.pause(&shared).await {
-                    Ok(()) => Ok(()),
-                    Err(_) => self.node_lost(Ending::Lost).await,
-                }
-            }
-            Step::Leave(response) => {
+        let shared = self.shared.clone();
+        let step = self.server.request(&request, |title| titles.get(title).map(|title| title.tracks));
+        let node = self.live.as_mut().and_then(|live| live.node.as_mut());
+        let sent = match (step, node) {
+            (Step::Reply(response), _) => return self.reply(response).await,
+            (Step::Ask(asked), _) => return self.ask(asked).await,
+            (Step::Leave(response), _) => {
                 self.end_session().await;
-                self.reply(response).await
+                return self.reply(response).await;
+            }
+            // The node was lost, and that has not reached the state machine yet.
+            (_, None) => {
+                let response = self.server.failed(StatusCode::BadGateway);
+                return self.reply(response).await;
             }
+            (Step::Track { track }, Some(node)) => node.setup(&shared, track).await,
+            (Step::Play { range }, Some(node)) => node.play(&shared, range).await,
+            (Step::Pause, Some(node)) => node.pause(&shared).await,
+        };
+        match sent {
+            Ok(()) => Ok(()),
+            Err(_) => self.node_lost(Ending::Lost).await,
         }
     }
 
     async fn ask(&mut self, asked: Asked) -> Result<(), Closed> {
         let shared = self.shared.clone();
-        let Some(title) = shared.settings.titles.get(&asked.title) else {
-            let response = self.server.turned_away(StatusCode::NotFound, None);
-            return self.reply(response).await;
-        };
-        let Some(group) = shared.settings.group_of(asked.group.as_deref(), title) else {
+        let settings = &shared.settings;
+        let title = settings.titles.get(&asked.title);
+        let found = title.and_then(|t| Some((t, settings.group_of(asked.group.as_deref(), t)?)));
+        let Some((title, group)) = found else {
             let response = self.server.turned_away(StatusCode::NotFound, None);
             return self.reply(response).await;
         };
-        // Sessions of a director that starts again don't meet those of the one before.
-        let sess = Sess(shared.next_sess.fetch_add(1, Ordering::Relaxed));
-        let top = Rung(asked.top.unwrap_or(u8::MAX).min(shared.settings.top_rung()));
+        let sess = shared.new_sess();
         let want = Want {
             group,
-            title: ashglade::ids::Title(title.id),
-            top,
+            title: Title(title.id),
+            top: Rung(asked.top.unwrap_or(u8::MAX).min(settings.top_rung())),
             home: title.home,
             copies: title.copies,
-            setup_timeout: shared.settings.setup_timeouts[group.0],
+            setup_timeout: settings.setup_timeouts[group.0],
         };
         let (sender, orders) = mpsc::channel(ORDERS);
         let input = Input::Asked { sess, want };
         shared.core.send(Command::Open { input, sess, orders: sender }).await;
-        let ssrc = shared.random() as u32;
-        let clock_rate = shared.settings.front.clock_rate;
-        self.live = Some(Live {
-            sess,
-            asked,
-            orders,
-            attempt: None,
-            node: None,
-            rung: 0,
-            told: 0,
-            rewriter: Rewriter::new(ssrc, clock_rate),
-            meter: Meter::new(clock_rate, 0),
-            kept_alive: Instant::now(),
-        });
+        self.live = Some(Box::new(Live::new(&shared, sess, asked, orders)));
         Ok(())
     }
 
     async fn order(&mut self, order: Order) -> Result<(), Closed> {
         let shared = self.shared.clone();
         let Some(live) = &mut self.live else { return Ok(()) };
+        let sess = live.sess;
         match order {
-            Order::Setup { setup, address, rung, .. } => {
+            Order::Setup { setup, address, rung } => {
                 (live.rung, live.told) = (rung.0, rung.0);
                 match live.asked.rendition(address, rung.0) {
-                    Some(url) => live.attempt = Some(Attempt::start(shared, live.sess, setup, address, url)),
+                    Some(url) => {
+                        let track = self.server.track();
+                        let wanted = Wanted { sess, setup, node: address, url, track };
+                        live.attempt = Some(Attempt::start(shared, wanted));
+                    }
                     None => {
-                        let sess = live.sess;
                         shared.core.tell(Input::Ended { sess, setup, how: Ending::Unsent, load: None }).await;
                     }
                 }
@@ -271,20 +253,20 @@
                 Ok(())
             }
             Order::Answer(Answer::Plays { .. }) => {
-                let ssrc = live.rewriter.ssrc();
-                info!(sess = live.sess.0, title = live.asked.title, rung = live.rung, "plays");
+                let ssrc = live.ssrc(self.server.track());
+                info!(sess = sess.0, title = live.asked.title, rung = live.rung, "plays");
                 let name = format!("{:016x}", shared.random());
                 let response = self.server.granted(name, ssrc);
                 self.reply(response).await
             }
             Order::Answer(Answer::Busy { retry_after }) => {
-                info!(sess = live.sess.0, "busy reply");
+                info!(sess = sess.0, "busy reply");
                 let after = retry_after.map(|after| after.as_ms() / 1e3);
                 let response = self.server.turned_away(StatusCode::ServiceUnavailable, after);
                 self.turned_away(response).await
             }
             Order::Answer(Answer::TornDown) => {
-                info!(sess = live.sess.0, "torn down");
+                info!(sess = sess.0, "torn down");
                 let response = self.server.turned_away(StatusCode::BadGateway, None);
                 self.turned_away(response).await
             }
@@ -308,6 +290,18 @@
         Ok(())
     }
 
+    /// Sends the viewer to another director (RFC 2326, 10.10), if there is one to name.
+    async fn redirect(&mut self) -> Result<(), Closed> {
+        let Some(live) = &self.live else { return Ok(()) };
+        let Some(to) = &self.shared.settings.front.redirect else { return Ok(()) };
+        let Ok(url) = Url::parse(&format!("{to}/{}", live.asked.title)) else { return Ok(()) };
+        self.cseq += 1;
+        let mut request = messages::request(Method::Redirect, &url, self.cseq);
+        request.insert_header(headers::LOCATION, url.as_str());
+        self.feed(Packet::Request(request)).await?;
+        self.flush().await
+    }
+
     /// Brings the node to the rung that the engine wants.
     async fn switch(&mut self) -> Result<(), Closed> {
         let shared = self.shared.clone();
@@ -368,100 +362,112 @@
 
     async fn frame(&mut self, channel: u8, mut payload: BytesMut) -> Result<(), Closed> {
         let now = self.shared.clock.micros();
-        let to = self.server.channels();
         let Some(live) = &mut self.live else { return Ok(()) };
-        let Some(node) = &live.node else { return Ok(()) };
-        let passed = if channel == node.channels.rtp {
-            live.meter.saw(&payload);
-            live.rewriter.rtp(&mut payload, now).then_some(to.rtp)
-        } else if channel == node.channels.rtcp {
-            live.rewriter.rtcp(&mut payload).then_some(to.rtcp)
-        } else {
-            None
+        let frame = live.frame(channel, &mut payload, now);
+        let channels = |track| self.server.channels(track);
+        let (channel, over) = match frame {
+            Frame::Rtp { track } => (channels(track).map(|c| c.rtp), false),
+            Frame::Rtcp { track } => (channels(track).map(|c| c.rtcp), false),
+            Frame::Bye { track } => (channels(track).map(|c| c.rtcp), true),
+            Frame::Stray => (None, false),
         };
-        match passed {
-            Some(channel) => self.feed(Packet::Frame { channel, payload }).await,
-            None => Ok(()),
+        if let Some(channel) = channel {
+            self.feed(Packet::Frame { channel, payload }).await?;
+        }
+        if over { self.played_out().await } else { Ok(()) }
+    }
+
+    /// The node ended the stream: the session has played.
+    async fn played_out(&mut self) -> Result<(), Closed> {
+        let Some(mut live) = self.live.take() else { return Ok(()) };
+        info!(sess = live.sess.0, "played out");
+        self.shared.core.tell(Input::Over { sess: live.sess, how: Ending::Played }).await;
+        if let Some(node) = live.node.take() {
+            tokio::spawn(node.tear_down(self.shared.clone()));
         }
+        self.over(&live).await
     }
 
     async fn answered(&mut self, response: Response) -> Result<(), Closed> {
         let shared = self.shared.clone();
         let Some(live) = &mut self.live else { return Ok(()) };
         let Some(node) = &mut live.node else { return Ok(()) };
-        let Some(purpose) = node.answered(&response) else { return Ok(()) };
         if let Some(load) = attempt::load(&response) {
             let node = ashglade_roster::id_of(&node.address);
             shared.core.tell(Input::Load { node, load }).await;
         }
-        let well = response.status() == StatusCode::Ok;
-        match purpose {
-            Purpose::Play if well => {
-                live.meter.restart(shared.clock.micros());
-                let reply = self.server.plays(
-                    messages::header(&response, &headers::RANGE),
-                    // Sequence and time are those of the first packet: nothing is added to them yet.
-                    messages::header(&response, &headers::RTP_INFO).filter(|_| live.told == live.rung),
-                );
+        let reply = match node.client.answered(&response) {
+            client::Answer::Done(Purpose::Setup { track }) => self.server.track_granted(live.ssrc(track)),
+            client::Answer::Done(Purpose::Play) => {
+                live.plays(shared.clock.micros());
+                let range = messages::header(&response, &headers::RANGE);
+                let info = messages::header(&response, &headers::RTP_INFO).map(|info| live.rtp_info(info));
+                let reply = self.server.plays(range, info.as_deref());
                 self.reply(reply).await?;
-                self.switch().await
+                return self.switch().await;
             }
-            Purpose::Pause if well => {
-                let reply = self.server.paused();
-                self.reply(reply).await
-            }
-            Purpose::Play | Purpose::Pause => {
-                let reply = self.server.failed(response.status());
-                self.reply(reply).await
-            }
-            Purpose::Switch { from } if !well => {
+            client::Answer::Done(Purpose::Pause) => self.server.paused(),
+            client::Answer::Refused(Purpose::Switch { from }, _) => {
                 live.told = from;
                 shared.core.tell(Input::Stays { sess: live.sess, rung: Rung(from) }).await;
-                Ok(())
+                return Ok(());
             }
-            Purpose::Switch { .. } | Purpose::KeepAlive => Ok(()),
-        }
+            client::Answer::Refused(Purpose::Setup { .. } | Purpose::Play | Purpose::Pause, status) => {
+                self.server.failed(status)
+            }
+            _ => return Ok(()),
+        };
+        self.reply(reply).await
     }
 
     /// The node's connection is gone, or it doesn't answer: the session is over, the viewer's connection isn't.
     async fn node_lost(&mut self, how: Ending) -> Result<(), Closed> {
         let Some(live) = &mut self.live else { return Ok(()) };
-        if live.node.take().is_none() {
-            return Ok(());
-        }
-        info!(sess = live.sess.0, ?how, "broken");
+        let Some(node) = live.node.take() else { return Ok(()) };
+        info!(sess = live.sess.0, ?how, node = %node.address, "broken");
+        node.lose(&self.shared).await;
         self.shared.core.tell(Input::Over { sess: live.sess, how }).await;
-        let (sess, ssrc) = (live.sess, live.rewriter.ssrc());
+        let Some(live) = self.live.take() else { return Ok(()) };
         if self.server.waits() {
             let reply = self.server.failed(StatusCode::BadGateway);
             self.reply(reply).await?;
         } else {
-            let channel = self.server.channels().rtcp;
-            self.feed(Packet::Frame { channel, payload: bye(ssrc) }).await?;
+            for track in 0..self.shared.settings.front.clock_rates.len() as u8 {
+                if let Some(channels) = self.server.channels(track) {
+                    let payload = rtcp::bye(live.ssrc(track));
+                    self.feed(Packet::Frame { channel: channels.rtcp, payload }).await?;
+                }
+            }
             self.flush().await?;
         }
+        self.over(&live).await
+    }
+
+    /// The session is no longer in hand; the connection is as new.
+    async fn over(&mut self, live: &Live) -> Result<(), Closed> {
         self.server.ended();
-        self.live = None;
-        self.shared.core.send(Command::Close(sess)).await;
+        self.shared.core.send(Command::Close(live.sess)).await;
         Ok(())
     }
 
     async fn tick(&mut self) -> Result<(), Closed> {
         let shared = self.shared.clone();
-        if self.last_word.elapsed() > shared.settings.front.session_timeout && !self.server.waits() {
+        let front = &shared.settings.front;
+        if self.last_word.elapsed() > front.session_timeout && !self.server.waits() {
             return Err(Closed);
         }
         let Some(live) = &mut self.live else { return Ok(()) };
-        let Some(node) = &mut live.node else { return Ok(()) };
-        if node.overdue(&shared) {
+        if live.node.as_ref().is_some_and(|node| node.overdue(&shared)) {
             return self.node_lost(Ending::Silent).await;
         }
         if self.server.state() == State::Playing
-            && let Some(flow) = live.meter.take(shared.clock.micros())
+            && let Some(share) =
+                live.share(shared.clock.micros(), |track| self.server.channels(track).is_some())
         {
-            shared.core.tell(Input::Flow { sess: live.sess, share: flow.share }).await;
+            shared.core.tell(Input::Flow { sess: live.sess, share }).await;
         }
-        if live.kept_alive.elapsed() >= shared.settings.front.keep_alive {
+        let Some(node) = &mut live.node else { return Ok(()) };
+        if live.kept_alive.elapsed() >= front.keep_alive {
             live.kept_alive = Instant::now();
             if node.keep_alive(&shared).await.is_err() {
                 return self.node_lost(Ending::Lost).await;
@@ -500,10 +506,3 @@
         self.server.ended();
     }
 }
-
-/// RTCP BYE (RFC 3550, 6.6): the stream is over.
-fn bye(ssrc: u32) -> BytesMut {
-    let mut packet = BytesMut::from(&[0x81, 203, 0, 1][..]);
-    packet.extend_from_slice(&ssrc.to_be_bytes());
-    packet
-}
--- /dev/null
+++ b/crates/director/tests/stage/mod.rs
@@ -0,0 +1,61 @@
+//! A director in this process, with settings and a box list in a folder of its own.
+
+use std::net::SocketAddr;
+
+use tokio::net::{TcpSocket, TcpStream};
+
+pub const SETTINGS: &str = r#"
+zone: "a"
+model { name: "m" places: 50 }
+rung { kb_per_s: 10 utility: 0.5 }
+rung { kb_per_s: 20 utility: 1 }
+group { name: "lesson" start_target_ms: 1000 setup_timeout_ms: 3000 utility: 1 care: SAFE }
+group { name: "event" start_target_ms: 1000 setup_timeout_ms: 3000 utility: 1 care: FRAGILE }
+title { name: "t" }
+title { name: "two" tracks: 2 }
+links { unit_kb_per_s: 1000 cells: 4 racks: 1 }
+limits { setups_per_session: 3 answer_margin_ms: 200 most_sessions: 100 max_retry_after_ms: 1000 }
+cold { from: 1 warm_after_ms: 1 fall_multiple: 1000 fall_span_ms: 1000 }
+reports { probe_timeout_ms: 250 notice_ms: 1000 }
+front {
+  default_group: "lesson" most_connections: 100 session_timeout_s: 60 write_timeout_ms: 2000
+  connect_timeout_ms: 250 answer_timeout_ms: 1000 idle_connections: 4 keep_alive_ms: 60000 drain_ms: 5000
+  list_poll_ms: 20
+"#;
+
+/// A director, with its folder.
+pub struct Director {
+    pub address: SocketAddr,
+    _folder: tempfile::TempDir,
+    _held: TcpSocket,
+}
+
+pub async fn director(nodes: &[SocketAddr]) -> Director {
+    let folder = tempfile::tempdir().unwrap();
+    // Bound and not listened at, the port is the director's alone.
+    let held = TcpSocket::new_v4().unwrap();
+    held.set_reuseaddr(true).unwrap();
+    held.bind("127.0.0.1:0".parse().unwrap()).unwrap();
+    let address = held.local_addr().unwrap();
+    let settings = format!(
+        "{SETTINGS} listen: \"{address}\" }}\nbox_list: \"boxes.txtpb\"\n\
+         director {{ number: 0 directors: 1 zone: \"a\" seed: 5 }}\n"
+    );
+    let mut boxes = "generation: 1\n".to_string();
+    for (i, node) in nodes.iter().enumerate() {
+        boxes += &format!(
+            "box {{ name: \"n{i}\" address: \"{node}\" zone: \"a\" model: \"m\" cell: {i} weight: 1 }}\n"
+        );
+    }
+    std::fs::write(folder.path().join("boxes.txtpb"), boxes).unwrap();
+    let path = folder.path().join("headend.txtpb");
+    std::fs::write(&path, settings).unwrap();
+    let options = ashglade_director::Options { settings: path, record: None };
+    tokio::spawn(async move { ashglade_director::serve(options).await.unwrap() });
+    loop {
+        if TcpStream::connect(address).await.is_ok() {
+            return Director { address, _folder: folder, _held: held };
+        }
+        tokio::task::yield_now().await;
+    }
+}
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -100,13 +100,14 @@
     let count = |n: &std::sync::atomic::AtomicU64| n.load(Ordering::Relaxed);
     let report = format!(
         "{}media   {} packets, {} of another SSRC, {} steps back in the sequence, {} breaks\norphans {} sessions left \
-         at nodes; directors {}\n",
+         at nodes, {:.1} s held by nobody; directors {}\n",
         played.verdict,
         count(&media.packets),
         count(&media.foreign),
         count(&media.backward),
         count(&media.breaks),
         played.orphans,
+        played.orphaned,
         if played.ended_well { "ended well" } else { "did not end well" },
     );
     print!("{report}");
--- a/crates/lab/src/play.rs
+++ b/crates/lab/src/play.rs
@@ -27,6 +27,8 @@
     pub media: Arc<Media>,
     /// Sessions that nodes still held after all viewers and directors had gone.
     pub orphans: usize,
+    /// Seconds for which nodes held sessions that nobody had.
+    pub orphaned: f64,
     /// Directors ended by themselves and well.
     pub ended_well: bool,
 }
@@ -121,11 +123,12 @@
     let drain = settings.front.drain + Duration::from_secs(2);
     let ended_well = stage.directors.stop(drain).await;
     let orphans = settle(&stage.fleet).await;
+    let orphaned = stage.fleet.nodes.iter().map(|node| node.orphaned().as_secs_f64()).sum();
     let verdict = judged(&plan, &log);
     if !quiet {
         println!("{total} viewers in {:.1} s", begun.elapsed().as_secs_f64());
     }
-    Ok(Played { verdict, media, orphans, ended_well })
+    Ok(Played { verdict, media, orphans, orphaned, ended_well })
 }
 
 /// Waits a moment for nodes to notice that connections are closed; the sessions that are left.
@@ -285,6 +288,7 @@
                 id: scripts.len() as u64,
                 directors: mine,
                 group: settings.group_names[group].clone(),
+                tracks: settings.titles.get(&titles[title]).map_or(1, |t| t.tracks),
                 title: titles[title].clone(),
                 top: if small { top / 2 } else { top },
                 setup_timeout: timeout,
--- a/crates/lab/src/trouble.rs
+++ b/crates/lab/src/trouble.rs
@@ -67,6 +67,11 @@
             tokio::time::sleep(span).await;
             faults(|f, _| f.delay = Duration::ZERO, size);
         }
+        Kind::Keeps => {
+            faults(|f, size| f.keeps = Duration::from_secs_f64(size), size);
+            tokio::time::sleep(span).await;
+            faults(|f, _| f.keeps = Duration::ZERO, size);
+        }
         Kind::OriginSlow => {
             on.iter().for_each(|&rack| stage.fleet.cut_uplink(rack, size));
             tokio::time::sleep(span).await;
--- a/crates/rtsp/src/lib.rs
+++ b/crates/rtsp/src/lib.rs
@@ -2,11 +2,14 @@
 //! needs it: one codec for both sides, the viewer's side as a state machine, load in `text/parameters`,
 //! and RTP kept continuous across a change of rendition. Nothing here does I/O or reads a clock.
 
+pub mod client;
 pub mod codec;
+pub mod digest;
 pub mod load;
 pub mod messages;
 pub mod presentation;
 pub mod rewrite;
+pub mod rtcp;
 pub mod server;
 
 pub use codec::{Codec, Fault, Limits, Packet};
--- a/crates/rtsp/src/messages.rs
+++ b/crates/rtsp/src/messages.rs
@@ -73,6 +73,10 @@
 }
 
 impl Channels {
+    pub fn overlaps(&self, other: &Channels) -> bool {
+        [self.rtp, self.rtcp].iter().any(|c| [other.rtp, other.rtcp].contains(c))
+    }
+
     pub fn granted(self, ssrc: Option<u32>) -> String {
         let ssrc = ssrc.map(|ssrc| format!(";ssrc={ssrc:08X}")).unwrap_or_default();
         format!("RTP/AVP/TCP;unicast;interleaved={}-{}{ssrc}", self.rtp, self.rtcp)
--- a/crates/rtsp/src/rewrite.rs
+++ b/crates/rtsp/src/rewrite.rs
@@ -4,6 +4,8 @@
 //!
 //! The same look at each header tells how much of what the node sent arrived: see [`Meter`].
 
+use crate::rtcp::{self, Sent};
+
 /// The fixed part of an RTP header.
 pub const RTP_HEADER: usize = 12;
 
@@ -26,18 +28,26 @@
     add_ts: u32,
     /// What the viewer last got, and when, in microseconds.
     last: Option<(u16, u32, u64)>,
+    /// Packets and payload bytes passed on; sender reports tell these, across all sources.
+    packets: u32,
+    octets: u32,
 }
 
 impl Rewriter {
     /// `ssrc` is what the viewer was told; `clock_rate` is in ticks a second.
     pub fn new(ssrc: u32, clock_rate: u32) -> Rewriter {
-        Rewriter { ssrc, clock_rate, source: None, add_seq: 0, add_ts: 0, last: None }
+        Rewriter { ssrc, clock_rate, source: None, add_seq: 0, add_ts: 0, last: None, packets: 0, octets: 0 }
     }
 
     pub fn ssrc(&self) -> u32 {
         self.ssrc
     }
 
+    /// What the viewer will see of a sequence number and a timestamp of the node's present stream.
+    pub fn seen(&self, seq: u16, ts: u32) -> (u16, u32) {
+        (seq.wrapping_add(self.add_seq), ts.wrapping_add(self.add_ts))
+    }
+
     /// Rewrites one RTP packet in place; false where it is none, and is not to be passed on.
     pub fn rtp(&mut self, packet: &mut [u8], now_us: u64) -> bool {
         let Some((seq, ts, source)) = header(packet) else { return false };
@@ -56,28 +66,20 @@
         if newer {
             self.last = Some((seq, ts, now_us));
         }
+        self.packets = self.packets.wrapping_add(1);
+        self.octets = self.octets.wrapping_add((packet.len() - RTP_HEADER) as u32);
         packet[2..4].copy_from_slice(&seq.to_be_bytes());
         packet[4..8].copy_from_slice(&ts.to_be_bytes());
         packet[8..12].copy_from_slice(&self.ssrc.to_be_bytes());
         true
     }
 
-    /// Rewrites the sender's SSRC, and the RTP timestamp of a sender report (RFC 3550, 6.4.1), in place; false
-    /// where this is no RTCP packet, or one of a source that isn't playing.
-    pub fn rtcp(&mut self, packet: &mut [u8]) -> bool {
-        if packet.len() < 8 || packet[0] >> 6 != 2 {
-            return false;
-        }
-        let word = |p: &[u8], at: usize| u32::from_be_bytes([p[at], p[at + 1], p[at + 2], p[at + 3]]);
-        if Some(word(packet, 4)) != self.source {
-            return false;
-        }
-        if packet[1] == 200 && packet.len() >= 20 {
-            let ts = word(packet, 16).wrapping_add(self.add_ts);
-            packet[16..20].copy_from_slice(&ts.to_be_bytes());
-        }
-        packet[4..8].copy_from_slice(&self.ssrc.to_be_bytes());
-        true
+    /// Rewrites a compound RTCP packet of the playing source in place; false where it isn't to be passed on.
+    pub fn rtcp(&self, packet: &mut [u8]) -> bool {
+        let Some(source) = self.source else { return false };
+        let sent =
+            Sent { source, ssrc: self.ssrc, add_ts: self.add_ts, packets: self.packets, octets: self.octets };
+        rtcp::rewrite(packet, sent)
     }
 }
 
--- a/crates/settings/src/headend.rs
+++ b/crates/settings/src/headend.rs
@@ -19,8 +19,13 @@
     pub home: Cell,
     pub copies: u16,
     pub group: Option<Group>,
+    /// 1 for video alone, 2 with audio.
+    pub tracks: u8,
 }
 
+/// Realm, names and passwords.
+pub type Users = (String, Vec<(String, String)>);
+
 /// What the shell goes by.
 #[derive(Clone, Debug)]
 pub struct Front {
@@ -35,7 +40,13 @@
     pub keep_alive: Duration,
     pub drain: Duration,
     pub list_poll: Duration,
-    pub clock_rate: u32,
+    /// RTP ticks a second of each track.
+    pub clock_rates: [u32; 2],
+    /// Those who may come in; all if none.
+    pub users: Option<Users>,
+    pub redirect: Option<String>,
+    /// Path of the ledger, as written.
+    pub ledger: Option<String>,
 }
 
 #[derive(Clone, Debug)]
@@ -145,7 +156,8 @@
             Some(group) => Some(Group(at.one_of(&field("group"), group, &group_names)?)),
             None => None,
         };
-        let held = Title { id: i as u64, home: Cell(home as u16), copies, group };
+        let tracks = at.within(&field("tracks"), Some(f64::from(title.tracks.unwrap_or(1))), 1.0, 2.0)? as u8;
+        let held = Title { id: i as u64, home: Cell(home as u16), copies, group, tracks };
         if titles.insert(name.clone(), held).is_some() {
             return Err(at.trouble(&field("name"), format!("{name:?} is there twice")));
         }
@@ -292,10 +304,39 @@
         keep_alive: time("keep_alive_ms", f.keep_alive_ms)?,
         drain: time("drain_ms", f.drain_ms)?,
         list_poll: time("list_poll_ms", f.list_poll_ms)?,
-        clock_rate: count("clock_rate", Some(f.clock_rate.unwrap_or(90_000)), 1_000.0, 1e9)? as u32,
+        clock_rates: [
+            count("clock_rate", Some(f.clock_rate.unwrap_or(90_000)), 1_000.0, 1e9)? as u32,
+            count("audio_clock_rate", Some(f.audio_clock_rate.unwrap_or(48_000)), 1_000.0, 1e9)? as u32,
+        ],
+        users: users(at, f)?,
+        redirect: match &f.redirect {
+            Some(to) if to.starts_with("rtsp://") => Some(to.trim_end_matches('/').to_string()),
+            Some(to) => {
+                return Err(at.trouble("front.redirect", format!("{to:?} does not begin with rtsp://")));
+            }
+            None => None,
+        },
+        ledger: f.ledger.clone(),
     })
 }
 
+fn users(at: &Source, f: &schema::Front) -> Result<Option<Users>, Trouble> {
+    if f.user.is_empty() {
+        return Ok(None);
+    }
+    let realm = named(at, "front.realm", &f.realm)?;
+    let mut users = Vec::new();
+    for (i, user) in f.user.iter().enumerate() {
+        let name = named(at, &format!("front.user[{i}].name"), &user.name)?;
+        users.push((name, named(at, &format!("front.user[{i}].password"), &user.password)?));
+    }
+    distinct(at, "front.user", users.iter().map(|(name, _)| name.as_str()))?;
+    if realm.contains('"') {
+        return Err(at.trouble("front.realm", "must not hold quotes"));
+    }
+    Ok(Some((realm, users)))
+}
+
 fn some(at: &Source, field: &str, count: usize, most: f64) -> Result<(), Trouble> {
     match count {
         0 => Err(at.trouble(field, "is left out; one at least is wanted")),
