--- a/crates/director/src/serve.rs
+++ b/crates/director/src/serve.rs
@@ -5,7 +5,8 @@
 use std::sync::{Arc, Mutex};
 
 use ashglade::ids::Sess;
-use ashglade_engine::{Input, Start};
+use ashglade::time::Span;
+use ashglade_engine::{DoorTerms, Input, Start};
 use ashglade_ledger::{Ledger, Terms, pages};
 use ashglade_roster::List;
 use ashglade_rtsp::digest::Users;
@@ -86,11 +87,20 @@
 
 /// What the engine is started with, from settings.
 pub fn replay_start(settings: &Settings) -> Start {
+    let headend = &settings.headend;
     Start {
         headend: settings.headend.clone(),
         answer_margin: settings.answer_margin,
         probe_timeout: settings.probe_timeout,
         most_sessions: settings.most_sessions,
+        door: settings.door.as_ref().map(|door| DoorTerms {
+            seed: headend.seed,
+            groups: door.shares.iter().copied().zip(headend.groups.iter().map(|g| g.utility)).collect(),
+            target: headend.groups.iter().map(|g| g.start_target).min().unwrap_or(Span::from_secs(1.0)),
+            retry_after: headend.retry_after,
+            most_waiting: door.most_waiting,
+            hands: door.hands,
+        }),
     }
 }
 
--- a/crates/director/src/viewer.rs
+++ b/crates/director/src/viewer.rs
@@ -2,6 +2,7 @@
 //! frames to the viewer. What a slow viewer doesn't take isn't read from its node.
 
 use std::collections::VecDeque;
+use std::hash::{Hash, Hasher};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -15,6 +16,7 @@
 use bytes::BytesMut;
 use futures_util::{SinkExt, StreamExt};
 use rtsp_types::{Method, StatusCode, Url, headers};
+use siphasher::sip::SipHasher13;
 use tokio::net::TcpStream;
 use tokio::sync::{mpsc, watch};
 use tokio::time::Instant;
@@ -217,6 +219,7 @@
             home: title.home,
             copies: title.copies,
             setup_timeout: settings.setup_timeouts[group.0],
+            client: self.client(&asked),
         };
         let (sender, orders) = mpsc::channel(ORDERS);
         let input = Input::Asked { sess, want };
@@ -225,6 +228,20 @@
         Ok(())
     }
 
+    /// Who asks, as the door tells clients apart: by the query element that settings name, else by address.
+    fn client(&self, asked: &Asked) -> u64 {
+        let name = self.shared.settings.door.as_ref().and_then(|door| door.client_query.as_deref());
+        let named = name.and_then(|name| {
+            asked.query.split('&').find_map(|pair| pair.strip_prefix(name)?.strip_prefix('='))
+        });
+        let mut hasher = SipHasher13::new();
+        match named {
+            Some(named) => named.hash(&mut hasher),
+            None => self.connection.get_ref().peer_addr().map(|peer| peer.ip()).ok().hash(&mut hasher),
+        }
+        hasher.finish()
+    }
+
     async fn order(&mut self, order: Order) -> Result<(), Closed> {
         let shared = self.shared.clone();
         let Some(live) = &mut self.live else { return Ok(()) };
--- /dev/null
+++ b/crates/door/src/lib.rs
@@ -0,0 +1,200 @@
+//! The door before the module: which requests go in now, which wait a bounded time, which are busy-replied at once,
+//! in which order those that wait go in, and when those that are sent away are told to come back. Who plays, and
+//! where, is the module's.
+//!
+//! [`Door::offer`] takes a request, [`Door::done`] tells how one that went in came out, [`Door::round`] gives what is to
+//! be done now. There is no I/O, no clock and no thread in it.
+//!
+//! - [`limit`] learns how much may be in hand at once, from how long set-ups take and how many are turned away;
+//! - [`fair`] holds those that wait, shares by service group and within a group by client, in bounded memory;
+//! - [`heavy`] tells clients that ask far more than others, in a fixed table;
+//! - [`later`] says when to come back, and spreads those that it sends away over the time in which there is room.
+
+pub mod fair;
+pub mod heavy;
+pub mod later;
+pub mod limit;
+
+use ashglade::ids::{Group, Sess};
+use ashglade::time::{Instant, Span};
+use serde::{Deserialize, Serialize};
+
+use fair::{Fair, Ticket};
+use heavy::Heavy;
+use later::Later;
+use limit::Limit;
+
+/// What the door is set up with.
+#[derive(Clone, Debug)]
+pub struct Terms {
+    pub seed: u64,
+    /// By service group: its weight, and the utility of one session.
+    pub groups: Vec<(f64, f64)>,
+    /// The shortest start target.
+    pub target: Span,
+    /// Longest retry-after that may be told; none is told without.
+    pub retry_after: Option<Span>,
+    /// Requests that wait at most.
+    pub most_waiting: usize,
+    /// In hand at once: at the beginning, at least, and at most.
+    pub hands: (f64, f64, f64),
+}
+
+/// A request at the door.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Request {
+    pub sess: Sess,
+    pub group: Group,
+    /// Whoever it comes from: a hash of its address or its name.
+    pub client: u64,
+    /// When an answer is wanted, and when the viewer gives up.
+    pub start_target: Span,
+    pub setup_timeout: Span,
+}
+
+/// How a request that went in came out.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Came {
+    Plays,
+    /// The module had no room, or nodes were full.
+    Busy,
+    /// The viewer left, or it was torn down: tells nothing of room.
+    Other,
+}
+
+/// What is to be done with a request.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Verdict {
+    /// It goes to the module now, having waited so long.
+    In { sess: Sess, waited: Span },
+    /// It is busy-replied now.
+    Away { sess: Sess, retry_after: Option<Span> },
+}
+
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize)]
+pub struct Tally {
+    pub offered: u64,
+    pub let_in: u64,
+    pub waited: u64,
+    /// Sent away: no place to wait, would have waited too long, or did.
+    pub no_place: u64,
+    pub hopeless: u64,
+    pub too_long: u64,
+}
+
+/// A part of the start target is the most that anyone waits: the rest is for the set-up itself.
+const WAIT_PART: f64 = 0.5;
+/// Nor does anyone wait for more than this part of the setup timeout, whatever its start target is.
+const TIMEOUT_PART: f64 = 0.25;
+/// The door is looked at so often in a start target while anyone waits.
+const LOOKS: f64 = 20.0;
+
+#[derive(Debug)]
+pub struct Door {
+    terms: Terms,
+    limit: Limit,
+    fair: Fair,
+    heavy: Heavy,
+    later: Later,
+    /// Requests that went in and have not come out, with when.
+    inside: std::collections::BTreeMap<Sess, Instant>,
+    /// What is to be done since the last round.
+    verdicts: Vec<Verdict>,
+    pub tally: Tally,
+}
+
+impl Door {
+    pub fn new(terms: Terms, now: Instant) -> Door {
+        let weights: Vec<f64> = terms.groups.iter().map(|&(weight, _)| weight).collect();
+        let utilities: Vec<f64> = terms.groups.iter().map(|&(_, utility)| utility).collect();
+        Door {
+            limit: Limit::new(terms.hands, terms.target, now),
+            fair: Fair::new(&weights, &utilities, terms.most_waiting, terms.seed),
+            heavy: Heavy::new(terms.seed, now),
+            later: Later::new(terms.retry_after, terms.target, terms.seed, now),
+            inside: std::collections::BTreeMap::new(),
+            verdicts: Vec::new(),
+            tally: Tally::default(),
+            terms,
+        }
+    }
+
+    /// Requests that wait, and that went in and have not come out.
+    pub fn held(&self) -> (usize, usize) {
+        (self.fair.len(), self.inside.len())
+    }
+
+    /// How many may be in hand at once just now.
+    pub fn limit(&self) -> f64 {
+        self.limit.now()
+    }
+
+    /// A request comes. It waits in its queue; [`Door::round`] says what becomes of it.
+    pub fn offer(&mut self, request: Request, now: Instant) {
+        self.tally.offered += 1;
+        let promised = self.later.came(request.client, now);
+        let heavy = self.heavy.asks(request.client, now);
+        let patience = (request.start_target * WAIT_PART).min(request.setup_timeout * TIMEOUT_PART);
+        let promised = promised && heavy.is_none();
+        let ticket = Ticket { request, since: now, until: now + patience, promised, heavy };
+        if let Err(turned) = self.fair.push(ticket) {
+            self.tally.no_place += 1;
+            self.send_away(turned, now);
+        }
+    }
+
+    /// The viewer of a request that waits has gone; false if it doesn't wait here.
+    pub fn left(&mut self, sess: Sess) -> bool {
+        self.fair.remove(sess)
+    }
+
+    /// A request that went in has come out.
+    pub fn done(&mut self, sess: Sess, how: Came, now: Instant) {
+        let Some(since) = self.inside.remove(&sess) else { return };
+        self.limit.came(now - since, how, self.inside.len() + 1, now);
+        if how == Came::Plays {
+            self.later.served(now);
+        }
+    }
+
+    fn send_away(&mut self, ticket: Ticket, now: Instant) {
+        let Request { sess, client, .. } = ticket.request;
+        let retry_after = self.later.when(client, ticket.heavy.is_some(), now);
+        self.verdicts.push(Verdict::Away { sess, retry_after });
+    }
+
+    /// What is to be done now. Whoever waits too long is told so at once; then as many go in as there is room for.
+    pub fn round(&mut self, now: Instant) -> Vec<Verdict> {
+        for ticket in self.fair.overdue(now) {
+            self.tally.too_long += 1;
+            self.send_away(ticket, now);
+        }
+        let room = |this: &Door| (this.inside.len() as f64) < this.limit.now();
+        while room(self)
+            && let Some(ticket) = self.fair.pop()
+        {
+            let (sess, waited) = (ticket.request.sess, now - ticket.since);
+            self.inside.insert(sess, now);
+            self.tally.let_in += 1;
+            self.tally.waited += u64::from(waited > Span::ZERO);
+            self.verdicts.push(Verdict::In { sess, waited });
+        }
+        // Those whose turn can't come in time aren't kept until it has not come.
+        let rate = self.limit.rate(now);
+        if let Some(rate) = rate {
+            for ticket in self.fair.hopeless(now, rate) {
+                self.tally.hopeless += 1;
+                self.send_away(ticket, now);
+            }
+        }
+        std::mem::take(&mut self.verdicts)
+    }
+
+    /// When the next round is due if nothing comes before.
+    pub fn next_due(&self, now: Instant) -> Option<Instant> {
+        (!self.fair.is_empty()).then(|| now + self.terms.target * (1.0 / LOOKS))
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/door/src/limit.rs
@@ -0,0 +1,134 @@
+//! How many set-ups may be in hand at once is learned. Set-ups that take longer than they did when few were in hand,
+//! or that come back busy, say that there are too many; set-ups that come through quickly while the limit is in use
+//! say that there may be more. Compared in `docs/door.md`: a gradient of set-up times as here, AIMD on busy replies alone,
+//! and a sojourn target; nothing of other directors is known, so steps are small and partly set by what came back.
+
+use ashglade::time::{Instant, Span};
+
+use crate::Came;
+
+/// Out of a round of set-ups, as many as are in hand: the limit changes once in one.
+#[derive(Debug)]
+pub struct Limit {
+    now: f64,
+    least: f64,
+    most: f64,
+    /// What a set-up takes when nothing is in its way: the least that any took, found anew now and then by letting
+    /// few in for one round. Without that it would be learned from set-ups that already stand in each other's way.
+    base: Option<f64>,
+    /// The least of this round.
+    least_time: f64,
+    rounds: u32,
+    probes: bool,
+    /// Of the set-ups since the limit last changed: time in all, how many, how many busy, and when it began.
+    time: f64,
+    count: f64,
+    busy: f64,
+    since: Instant,
+    /// Set-ups that came out a second, smoothed.
+    rate: Option<f64>,
+    /// Times shorter than this are never a reason to go down, in ms.
+    harmless: f64,
+}
+
+/// One round in so many lets only a part of the limit in, to find the base anew.
+const PROBE_EVERY: u32 = 30;
+const PROBE_PART: f64 = 0.25;
+/// So much longer than the base, set-ups are still held for unhindered.
+const SLOWER: f64 = 2.0;
+/// A part of busy replies up to this tells of chance, not of overload.
+const FEW_BUSY: f64 = 0.1;
+/// What is left of the limit after a round that was all busy, at the least.
+const CUT: f64 = 0.7;
+/// Parts of the start target: set-ups this short are never too slow.
+const HARMLESS: f64 = 0.1;
+/// Weight of the last round in the rate.
+const FRESH: f64 = 0.3;
+
+impl Limit {
+    /// In hand at once: at first, at least, at most.
+    pub fn new((first, least, most): (f64, f64, f64), target: Span, now: Instant) -> Limit {
+        Limit {
+            now: first.clamp(least, most),
+            least,
+            most,
+            base: None,
+            least_time: f64::INFINITY,
+            rounds: 0,
+            probes: true,
+            time: 0.0,
+            count: 0.0,
+            busy: 0.0,
+            since: now,
+            rate: None,
+            harmless: target.as_ms() * HARMLESS,
+        }
+    }
+
+    pub fn now(&self) -> f64 {
+        if self.probes { (self.now * PROBE_PART).max(self.least) } else { self.now }
+    }
+
+    /// Set-ups a second that come out while the limit is in use; none before enough was seen.
+    pub fn rate(&self, now: Instant) -> Option<f64> {
+        // Nothing came out for longer than a round takes: the rate of old is worth less and less.
+        let quiet = (now - self.since).as_ms() / 1e3;
+        let rate = self.rate?;
+        Some(rate.min((self.count + 1.0) / quiet.max(1e-3)).max(1e-3)).filter(|_| quiet > 0.0).or(Some(rate))
+    }
+
+    /// A set-up came out after `took`, with so many in hand, itself included.
+    pub fn came(&mut self, took: Span, how: Came, in_hand: usize, now: Instant) {
+        if how == Came::Other {
+            return;
+        }
+        self.count += 1.0;
+        match how {
+            Came::Busy => self.busy += 1.0,
+            _ => {
+                self.time += took.as_ms();
+                self.least_time = self.least_time.min(took.as_ms());
+            }
+        }
+        if self.count < self.now().min(in_hand as f64).max(8.0) {
+            return;
+        }
+        let served = self.count - self.busy;
+        let busy = self.busy / self.count;
+        let used = in_hand as f64 >= self.now() * 0.5;
+        let mut step = 1.0;
+        if served > 0.0 {
+            let mean = self.time / served;
+            let least = self.least_time;
+            let base = self.base.filter(|_| !self.probes).map_or(least, |base| base.min(least));
+            self.base = Some(base);
+            if mean > (base * SLOWER).max(self.harmless) {
+                step = ((base * SLOWER).max(self.harmless) / mean).max(CUT);
+            }
+        }
+        if busy > FEW_BUSY {
+            step = step.min(1.0 - (1.0 - CUT) * (busy - FEW_BUSY) / (1.0 - FEW_BUSY));
+        }
+        self.now = match step < 1.0 {
+            _ if self.probes => self.now,
+            true => self.now * step,
+            // As wide as the root: many steps at a small limit, few at a large one.
+            false if used => self.now + self.now.sqrt(),
+            false => self.now,
+        }
+        .clamp(self.least, self.most);
+        if !self.probes {
+            self.note_rate(now);
+        }
+        self.rounds += 1;
+        self.probes = self.rounds.is_multiple_of(PROBE_EVERY);
+        self.least_time = f64::INFINITY;
+        (self.time, self.count, self.busy, self.since) = (0.0, 0.0, 0.0, now);
+    }
+
+    fn note_rate(&mut self, now: Instant) {
+        let seconds = ((now - self.since).as_ms() / 1e3).max(1e-3);
+        let rate = self.count / seconds;
+        self.rate = Some(self.rate.map_or(rate, |old| old + (rate - old) * FRESH));
+    }
+}
--- /dev/null
+++ b/crates/door/src/tests.rs
@@ -0,0 +1,281 @@
+//! A made world before and behind the door: viewers that come, wait, leave and come back as told, and set-ups that
+//! take longer the more of them are in hand.
+
+use std::collections::BTreeMap;
+
+use expect_test::expect;
+
+use super::*;
+
+/// Who comes: a group's requests a second, from so many clients, between two times.
+#[derive(Clone, Copy)]
+struct Crowd {
+    group: usize,
+    rate: f64,
+    clients: u64,
+    from: f64,
+    to: f64,
+}
+
+/// What a day came to, by group.
+#[derive(Default, Debug, Clone)]
+struct Came1 {
+    asked: usize,
+    served: usize,
+    /// Came back as told, and went in within the start target then.
+    back: usize,
+    back_well: usize,
+    away: usize,
+    longest_wait: f64,
+}
+
+struct Day {
+    groups: Vec<Came1>,
+    limit: (f64, f64),
+    most_held: usize,
+    /// Most that came back within a tenth of a second.
+    herd: usize,
+    by_client: BTreeMap<u64, usize>,
+}
+
+fn terms(weights: &[f64]) -> Terms {
+    Terms {
+        seed: 5,
+        groups: weights.iter().map(|&w| (w, 1.0)).collect(),
+        target: Span::from_secs(1.0),
+        retry_after: Some(Span::from_secs(8.0)),
+        most_waiting: 400,
+        hands: (8.0, 2.0, 1000.0),
+    }
+}
+
+/// Set-ups are served `at_once` at a time, each in `takes` seconds; what is more waits behind them. `fair` off lets
+/// everything in as it comes.
+fn day(terms: Terms, crowds: &[Crowd], secs: f64, (at_once, takes): (usize, f64), fair: bool) -> Day {
+    let mut random = oorandom::Rand64::new(9);
+    let at = |secs: f64| Instant::from_ms(secs * 1e3);
+    let groups = terms.groups.len();
+    let mut door = Door::new(terms, at(0.0));
+    // Times at which requests come, with group, client, and whether it came back.
+    let mut coming: BTreeMap<(u64, u64), (usize, u64, bool)> = BTreeMap::new();
+    let mut number = 0u64;
+    for crowd in crowds {
+        let mut t = crowd.from;
+        loop {
+            t += -(1.0 - random.rand_float()).ln() / crowd.rate;
+            if t >= crowd.to.min(secs) {
+                break;
+            }
+            number += 1;
+            let client = crowd.group as u64 * 1_000_000_000 + random.rand_range(0..crowd.clients);
+            coming.insert(((t * 1e6) as u64, number), (crowd.group, client, false));
+        }
+    }
+    let mut day = Day {
+        groups: vec![Came1::default(); groups],
+        limit: (f64::INFINITY, 0.0),
+        most_held: 0,
+        herd: 0,
+        by_client: BTreeMap::new(),
+    };
+    let mut known: BTreeMap<Sess, (usize, u64, f64, bool)> = BTreeMap::new();
+    let mut queue: std::collections::VecDeque<Sess> = Default::default();
+    let mut serving: Vec<(f64, Sess)> = Vec::new();
+    let mut backs: BTreeMap<u64, usize> = BTreeMap::new();
+    let mut t = 0.0;
+    while t < secs + 2.0 {
+        t += 0.005;
+        let now = at(t);
+        while let Some((&(when, n), &(group, client, back))) =
+            coming.first_key_value().filter(|((w, _), _)| *w as f64 / 1e6 <= t)
+        {
+            coming.remove(&(when, n));
+            let sess = Sess(n);
+            known.insert(sess, (group, client, t, back));
+            day.groups[group].asked += usize::from(!back);
+            let (start_target, setup_timeout) = (Span::from_secs(1.0), Span::from_secs(3.0));
+            door.offer(Request { sess, group: Group(group), client, start_target, setup_timeout }, now);
+            if !fair {
+                queue.push_back(sess);
+            }
+        }
+        serving.retain(|&(until, sess)| {
+            if until <= t {
+                door.done(sess, Came::Plays, now);
+                let (group, client, came, back) = known[&sess];
+                if t - came <= 1.0 {
+                    day.groups[group].served += 1;
+                    *day.by_client.entry(client).or_default() += 1;
+                    day.groups[group].back_well += usize::from(back);
+                }
+            }
+            until > t
+        });
+        for verdict in door.round(now) {
+            match verdict {
+                Verdict::In { sess, waited } if fair => {
+                    let group = known[&sess].0;
+                    day.groups[group].longest_wait = day.groups[group].longest_wait.max(waited.as_ms());
+                    queue.push_back(sess);
+                }
+                Verdict::Away { sess, retry_after } if fair => {
+                    let (group, client, _, back) = known[&sess];
+                    day.groups[group].away += 1;
+                    if let Some(after) = retry_after.filter(|_| !back) {
+                        let when = t + after.as_ms() / 1e3;
+                        number += 1;
+                        coming.insert(((when * 1e6) as u64, number), (group, client, true));
+                        day.groups[group].back += 1;
+                        *backs.entry((when * 10.0) as u64).or_default() += 1;
+                    }
+                }
+                _ => {}
+            }
+        }
+        while serving.len() < at_once
+            && let Some(sess) = queue.pop_front()
+        {
+            serving.push((t + takes, sess));
+        }
+        if t > secs * 0.3 {
+            day.limit = (day.limit.0.min(door.limit()), day.limit.1.max(door.limit()));
+        }
+        day.most_held = day.most_held.max(door.held().0);
+    }
+    day.herd = backs.values().copied().max().unwrap_or(0);
+    day
+}
+
+fn shares(day: &Day, secs: f64) -> String {
+    let one = |g: &Came1| format!("{:.1} of {:.1} a second", g.served as f64 / secs, g.asked as f64 / secs);
+    day.groups.iter().map(one).collect::<Vec<_>>().join(", ")
+}
+
+const STEADY: Crowd = Crowd { group: 0, rate: 8.0, clients: 1_000_000, from: 0.0, to: 60.0 };
+
+#[test]
+fn a_flood_of_one_group_leaves_the_other_its_share() {
+    // 20 a second can be set up; group 0 asks for 8, group 1 for 200.
+    let flood = Crowd { group: 1, rate: 200.0, ..STEADY };
+    let served = (2, 0.1);
+    let mut told =
+        format!("alone: {}\n", shares(&day(terms(&[1.0, 1.0]), &[STEADY], 60.0, served, true), 60.0));
+    let open = day(terms(&[1.0, 1.0]), &[STEADY, flood], 60.0, served, false);
+    told += &format!("first come, first served: {}\n", shares(&open, 60.0));
+    let fair = day(terms(&[1.0, 1.0]), &[STEADY, flood], 60.0, served, true);
+    told += &format!("fair: {}; {} waited at most\n", shares(&fair, 60.0), fair.most_held);
+    let weighted = day(terms(&[1.0, 4.0]), &[Crowd { rate: 50.0, ..STEADY }, flood], 60.0, served, true);
+    told += &format!("weights 1 and 4, both flood: {}\n", shares(&weighted, 60.0));
+    let waits: Vec<f64> = fair.groups.iter().map(|g| g.longest_wait).collect();
+    assert!(waits.iter().all(|&ms| ms <= 510.0), "nobody waits beyond half a start target: {waits:?}");
+    expect![[r#"
+        alone: 8.6 of 8.6 a second, 0.0 of 0.0 a second
+        first come, first served: 0.0 of 8.6 a second, 0.3 of 199.7 a second
+        fair: 8.5 of 8.6 a second, 11.8 of 199.7 a second; 109 waited at most
+        weights 1 and 4, both flood: 4.1 of 52.1 a second, 16.2 of 200.7 a second
+    "#]]
+    .assert_eq(&told);
+}
+
+#[test]
+fn retry_after_comes_true_and_brings_nobody_back_at_once() {
+    // Twice what can be set up for ten seconds, half of it after.
+    let crowds = [
+        Crowd { group: 0, rate: 40.0, clients: 1_000_000, from: 0.0, to: 10.0 },
+        Crowd { group: 0, rate: 8.0, clients: 1_000_000, from: 10.0, to: 40.0 },
+    ];
+    let day = day(terms(&[1.0]), &crowds, 40.0, (2, 0.1), true);
+    let g = &day.groups[0];
+    let told = format!(
+        "{} sent away, {} came back as told, {:.0}% of them then set up in time; at most {} in a tenth of a second",
+        g.away,
+        g.back,
+        100.0 * g.back_well as f64 / g.back as f64,
+        day.herd
+    );
+    expect!["445 sent away, 341 came back as told, 70% of them then set up in time; at most 12 in a tenth of a second"].assert_eq(&told);
+}
+
+#[test]
+fn one_client_of_a_group_does_not_crowd_out_the_others() {
+    // A client asks 100 times a second; 500 others ask for 10 a second together.
+    let heavy = Crowd { group: 0, rate: 100.0, clients: 1, from: 0.0, to: 30.0 };
+    let others = Crowd { group: 0, rate: 10.0, clients: 500, from: 0.0, to: 30.0 };
+    // Group 1 is where the many come from, so that client numbers differ.
+    let mut world = terms(&[1.0]);
+    world.retry_after = None;
+    let both = day(world, &[heavy, Crowd { clients: 501, ..others }], 30.0, (2, 0.1), true);
+    let loud = both.by_client.get(&0).copied().unwrap_or(0);
+    let rest: usize = both.by_client.iter().filter(|(client, _)| **client != 0).map(|(_, n)| n).sum();
+    let text = format!(
+        "the loud one {:.1} a second, the others {:.1} of 10",
+        loud as f64 / 30.0,
+        rest as f64 / 30.0
+    );
+    expect!["the loud one 9.2 a second, the others 10.4 of 10"].assert_eq(&text);
+}
+
+#[test]
+fn the_limit_finds_what_can_be_set_up_at_once() {
+    let flood = Crowd { group: 0, rate: 400.0, clients: 1_000_000, from: 0.0, to: 30.0 };
+    let mut told = String::new();
+    for at_once in [2, 10, 40] {
+        let day = day(terms(&[1.0]), &[flood], 30.0, (at_once, 0.1), true);
+        let (low, high) = day.limit;
+        told += &format!("{at_once} at once: limit {low:.0} to {high:.0}, {}\n", shares(&day, 30.0));
+    }
+    expect![[r#"
+        2 at once: limit 2 to 6, 20.6 of 400.4 a second
+        10 at once: limit 3 to 35, 101.3 of 400.4 a second
+        40 at once: limit 17 to 107, 388.3 of 400.4 a second
+    "#]]
+    .assert_eq(&told);
+}
+
+#[test]
+fn a_million_clients_cost_a_fixed_table_and_hide_no_heavy_one() {
+    let mut heavy = Heavy::new(3, Instant::from_ms(0.0));
+    let (mut found, mut wrong) = (None, 0);
+    for n in 0..1_000_000u64 {
+        let now = Instant::from_ms(n as f64 / 100.0);
+        wrong += usize::from(heavy.asks(n + 10, now).is_some());
+        // One in a hundred requests is the heavy client's.
+        if n % 100 == 0 && heavy.asks(1, now).is_some() {
+            found = found.or(Some(n / 100 + 1));
+        }
+    }
+    let text =
+        format!("{} bytes; heavy known at its request {found:?}; {wrong} others taken for it", heavy.bytes());
+    expect!["131072 bytes; heavy known at its request Some(9); 0 others taken for it"].assert_eq(&text);
+}
+
+#[test]
+fn places_to_wait_are_bounded_and_the_group_over_its_share_gives_them_up() {
+    let mut door = Door::new(
+        Terms { most_waiting: 10, hands: (0.0, 0.0, 0.0), ..terms(&[1.0, 1.0]) },
+        Instant::from_ms(0.0),
+    );
+    let now = Instant::from_ms(1.0);
+    let request = |n: u64, group: usize| Request {
+        sess: Sess(n),
+        group: Group(group),
+        client: n,
+        start_target: Span::from_secs(1.0),
+        setup_timeout: Span::from_secs(3.0),
+    };
+    (0..20).for_each(|n| door.offer(request(n, 0), now));
+    (20..23).for_each(|n| door.offer(request(n, 1), now));
+    let away: Vec<u64> = door
+        .round(now)
+        .iter()
+        .map(|v| match v {
+            Verdict::In { sess, .. } | Verdict::Away { sess, .. } => sess.0,
+        })
+        .collect();
+    assert_eq!((away.len(), door.held()), (13, (10, 0)));
+    assert!(away.iter().all(|&n| n < 20), "only the flood gives up places: {away:?}");
+    assert!(door.left(Sess(21)) && !door.left(Sess(21)));
+    // Whoever waited as long as it may is told then, not at its setup timeout.
+    let told = door.round(Instant::from_ms(502.0)).len();
+    assert_eq!((told, door.held()), (9, (0, 0)));
+}
--- a/crates/engine/src/answers.rs
+++ b/crates/engine/src/answers.rs
@@ -9,7 +9,7 @@
 use serde::Serialize;
 
 use crate::setups::Out;
-use crate::words::Answer;
+use crate::words::{Answer, Want};
 
 /// A session in hand, from its request to its last ending.
 #[derive(Debug)]
@@ -20,6 +20,8 @@
     pub answered: bool,
     /// The viewer has gone.
     pub left: bool,
+    /// It waits at the door with this; the module has not heard of it.
+    pub at_door: Option<Want>,
     pub setups: u16,
     pub out: Option<Out>,
     pub plays_at: Option<Node>,
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -6,6 +6,7 @@
 use ashglade::interface::{Ending, Headend, Viewing};
 use ashglade::policy::{Director, Round};
 use ashglade::time::{Instant, Span};
+use ashglade_door::{Came, Door, Request, Terms, Verdict};
 use ashglade_roster::{List, Roster, Standing};
 
 use crate::answers::{Hand, Hands, Tally};
@@ -24,6 +25,8 @@
     pub probe_timeout: Span,
     /// Sessions in hand at once, set-ups included.
     pub most_sessions: usize,
+    /// The fair door, if there is one.
+    pub door: Option<Terms>,
 }
 
 /// Delivered shares are told once a second.
@@ -33,6 +36,7 @@
     director: Director,
     start: Start,
     roster: Roster,
+    door: Option<Door>,
     hands: Hands,
     timers: Timers,
     notes: Notes,
@@ -62,6 +66,7 @@
         timers.at(now + Span::from_secs(NOTES_EVERY), Timer::Notes);
         Engine {
             director: Director::start(&start.headend, now),
+            door: start.door.clone().map(|terms| Door::new(terms, now)),
             start,
             roster: Roster::default(),
             hands: Hands::default(),
@@ -102,6 +107,7 @@
         while let Some(timer) = self.timers.pop(now) {
             self.due(now, timer, &mut news, &mut effects);
         }
+        self.let_in(now, &mut news, &mut effects);
         let mut desk = Desk {
             now,
             hands: &mut self.hands,
@@ -113,6 +119,7 @@
         };
         let roster = &self.roster;
         self.director.round(now, |round| news.iter().for_each(|n| tell(round, roster, n)), &mut desk);
+        self.came_out(now, &effects);
         if self.draining && !self.drained && self.hands.is_empty() {
             self.drained = true;
             effects.push(Effect::Drained);
@@ -120,11 +127,58 @@
         effects
     }
 
+    /// What the door says: some go in to the module, some are sent away.
+    fn let_in(&mut self, now: Instant, news: &mut Vec<News>, effects: &mut Vec<Effect>) {
+        let Some(door) = &mut self.door else { return };
+        for verdict in door.round(now) {
+            match verdict {
+                Verdict::In { sess, .. } => {
+                    let Some(hand) = self.hands.get_mut(sess) else { continue };
+                    let Some(want) = hand.at_door.take() else { continue };
+                    // What is left of its time, to the module's end of it.
+                    let patience = hand.answer_by - self.start.answer_margin * 0.5 - now;
+                    news.push(News::Asked(sess, viewing(want, patience)));
+                }
+                Verdict::Away { sess, retry_after } => {
+                    let answer = Answer::Busy { retry_after };
+                    if self.hands.answer(sess, &answer) {
+                        effects.push(Effect::Answer { sess, answer });
+                    }
+                }
+            }
+        }
+    }
+
+    /// Tells the door what came of those that it let in, and when it is to be looked at again.
+    fn came_out(&mut self, now: Instant, effects: &[Effect]) {
+        let Some(door) = &mut self.door else { return };
+        for effect in effects {
+            if let Effect::Answer { sess, answer } = effect {
+                let how = match answer {
+                    Answer::Plays { .. } => Came::Plays,
+                    Answer::Busy { .. } => Came::Busy,
+                    Answer::TornDown => Came::Other,
+                };
+                door.done(*sess, how, now);
+            }
+        }
+        let (waiting, inside) = door.held();
+        if waiting > 0 {
+            let at = if (inside as f64) < door.limit() { now } else { door.next_due(now).unwrap_or(now) };
+            self.timers.at(at, Timer::Door);
+        }
+    }
+
+    /// The door's own counters, if there is one.
+    pub fn door(&self) -> Option<&Door> {
+        self.door.as_ref()
+    }
+
     fn take(&mut self, now: Instant, input: Input, news: &mut Vec<News>, effects: &mut Vec<Effect>) {
         match input {
             Input::List(list) => self.list(list, news, effects),
             Input::Asked { sess, want } => self.asked(now, sess, want, news, effects),
-            Input::Left { sess } => self.left(sess, news, effects),
+            Input::Left { sess } => self.left(now, sess, news, effects),
             Input::Written { sess, setup } => {
                 if let Some(out) = self.out_mut(sess, setup) {
                     out.written = true;
@@ -232,23 +286,45 @@
             answer_by: now + patience + self.start.answer_margin * 0.5,
             answered: false,
             left: false,
+            at_door: None,
             setups: 0,
             out: None,
             plays_at: None,
             rung: self.start.headend.groups.get(want.group.0).map_or_else(Default::default, |g| g.floor),
         };
         self.timers.at(hand.answer_by, Timer::Answer(sess));
+        let terms = self.start.headend.groups.get(want.group.0);
+        let hand = match (&mut self.door, terms) {
+            (Some(door), Some(terms)) => {
+                let (group, client, setup_timeout) = (want.group, want.client, want.setup_timeout);
+                let start_target = terms.start_target;
+                door.offer(Request { sess, group, client, start_target, setup_timeout }, now);
+                Hand { at_door: Some(want), ..hand }
+            }
+            _ => {
+                news.push(News::Asked(sess, viewing(want, patience)));
+                hand
+            }
+        };
         self.hands.insert(sess, hand);
-        let Want { group, title, top, home, copies, .. } = want;
-        news.push(News::Asked(sess, Viewing { group, title, top, home, copies, patience }));
     }
 
-    fn left(&mut self, sess: Sess, news: &mut Vec<News>, effects: &mut Vec<Effect>) {
+    fn left(&mut self, now: Instant, sess: Sess, news: &mut Vec<News>, effects: &mut Vec<Effect>) {
         let Some(hand) = self.hands.get_mut(sess) else { return };
         if hand.left {
             return;
         }
         hand.left = true;
+        if let Some(door) = &mut self.door {
+            if hand.at_door.is_some() {
+                // The module never heard of it.
+                door.left(sess);
+                self.hands.tally.left_unanswered += 1;
+                self.hands.remove(sess);
+                return;
+            }
+            door.done(sess, Came::Other, now);
+        }
         let (unanswered, setups) = (!hand.answered, hand.setups);
         news.push(News::Left(sess));
         if let Some(node) = hand.plays_at {
@@ -328,6 +404,8 @@
 
     fn due(&mut self, now: Instant, timer: Timer, news: &mut Vec<News>, effects: &mut Vec<Effect>) {
         match timer {
+            // The door is looked at in every round.
+            Timer::Door => {}
             Timer::Wake(ticket) => news.push(News::Woke(ticket)),
             Timer::Setup(sess, setup) => {
                 let Some(out) = self.out_mut(sess, setup) else { return };
@@ -350,7 +428,11 @@
                     self.hands.get(sess).is_some_and(|h| !h.answered && !h.left && h.answer_by <= now);
                 if waits {
                     self.hands.tally.guarded += 1;
-                    news.push(News::Left(sess));
+                    if self.hands.get(sess).is_some_and(|hand| hand.at_door.is_none()) {
+                        news.push(News::Left(sess));
+                    } else if let Some(door) = &mut self.door {
+                        door.left(sess);
+                    }
                     let out = self.hands.get_mut(sess).and_then(|hand| hand.out.as_mut());
                     if let Some(out) = out
                         && out.withdraw(Withdrawn::ViewerLeft)
@@ -375,6 +457,11 @@
     }
 }
 
+fn viewing(want: Want, patience: Span) -> Viewing {
+    let Want { group, title, top, home, copies, .. } = want;
+    Viewing { group, title, top, home, copies, patience }
+}
+
 fn tell(round: &mut Round, roster: &Roster, news: &News) {
     match *news {
         News::List => {
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod words;
 
 pub use answers::Tally;
+pub use ashglade_door::Terms as DoorTerms;
 pub use engine::{Engine, Start};
 pub use words::{Answer, Effect, Input, Load, Want};
 
--- a/crates/engine/src/tests.rs
+++ b/crates/engine/src/tests.rs
@@ -52,7 +52,7 @@
         ask_list_within: None,
     };
     let span = Span::from_ms;
-    Start { headend, answer_margin: span(200.0), probe_timeout: span(250.0), most_sessions: 40 }
+    Start { headend, answer_margin: span(200.0), probe_timeout: span(250.0), most_sessions: 40, door: None }
 }
 
 fn address(n: u16) -> std::net::SocketAddr {
@@ -70,7 +70,15 @@
 
 fn want() -> Want {
     let setup_timeout = Span::from_secs(3.0);
-    Want { group: Group(0), title: Title(1), top: Rung(1), home: Cell(0), copies: 4, setup_timeout }
+    Want {
+        group: Group(0),
+        title: Title(1),
+        top: Rung(1),
+        home: Cell(0),
+        copies: 4,
+        setup_timeout,
+        client: 1,
+    }
 }
 
 fn print(effect: &Effect, names: &BTreeMap<Node, String>) -> String {
@@ -287,8 +295,22 @@
     late: f64,
 }
 
+/// The fair door, narrow enough that most wait.
+fn with_door(start: Start) -> Start {
+    let terms = DoorTerms {
+        seed: 2,
+        groups: vec![(1.0, 1.0)],
+        target: Span::from_secs(1.0),
+        retry_after: start.headend.retry_after,
+        most_waiting: 12,
+        hands: (2.0, 1.0, 4.0),
+    };
+    Start { door: Some(terms), ..start }
+}
+
 fn world(seed: u64, care: Care, rounds: usize) -> (Vec<record::Line>, World) {
-    let mut engine = Engine::start(start(care), Instant::from_ms(0.0));
+    let start = if seed % 2 == 1 { with_door(start(care)) } else { start(care) };
+    let mut engine = Engine::start(start, Instant::from_ms(0.0));
     let random = oorandom::Rand64::new(seed.into());
     let mut world =
         World { random, asked: BTreeMap::new(), out: BTreeMap::new(), playing: vec![], late: 0.0 };
@@ -423,7 +445,7 @@
 
 #[test]
 fn a_record_plays_again_to_the_same_effects_and_a_changed_one_does_not() {
-    let (lines, _) = world(7, Care::Safe, 600);
+    let (lines, _) = world(8, Care::Safe, 600);
     let head = record::Head { started: Instant::from_ms(0.0) };
     let mut text = serde_json::to_string(&head).unwrap() + "\n";
     for line in &lines {
@@ -440,3 +462,31 @@
     let broken = record::replay(start(Care::Safe), &broken).unwrap_err().to_string();
     expect!["line 2: missing field `at` at line 1 column 473"].assert_eq(&broken);
 }
+
+#[test]
+fn at_a_narrow_door_one_goes_in_others_wait_and_are_answered_in_time() {
+    let engine = Engine::start(with_door(start(Care::Safe)), Instant::from_ms(0.0));
+    let names = (1..=3).map(|n| (id_of(&address(n)), format!("n{n}"))).collect();
+    let mut desk = Desk { engine, names, trace: String::new() };
+    desk.at(0.0, vec![list(1, &[Standing::Ready; 3])]);
+    desk.trace.clear();
+    let ask = |n: u64| Input::Asked { sess: Sess(n), want: Want { client: n, ..want() } };
+    // The first round of the limit lets one in.
+    desk.at(1000.0, (1..=4).map(ask).collect());
+    desk.at(1010.0, vec![written(0), started(0)]);
+    desk.until(1020.0);
+    // One of those that wait leaves; the module never hears of it.
+    desk.at(1030.0, vec![Input::Left { sess: Sess(3) }]);
+    // The second hangs; the fourth waits half its start target and is told then.
+    desk.until(1600.0);
+    desk.trace += &format!("in hand {}\n", desk.engine.in_hand());
+    desk.shows(expect![[r#"
+        1000 ms: setup 1.0 at n1 rung 1 until 1500
+        1010 ms: 1 plays at rung 1
+        1010 ms: setup 2.0 at n2 rung 1 until 1510
+        1500 ms: 4 busy, again after Some(528.785)
+        1510 ms: withdraw 2.0
+        1560 ms: setup 2.1 at n3 rung 1 until 1810
+        in hand 2
+    "#]]);
+}
--- a/crates/engine/src/timers.rs
+++ b/crates/engine/src/timers.rs
@@ -16,6 +16,8 @@
     /// A request must have its answer by now.
     Answer(Sess),
     Probe(u64),
+    /// The door is looked at.
+    Door,
     /// Delivered shares are summed up.
     Notes,
 }
--- a/crates/engine/src/words.rs
+++ b/crates/engine/src/words.rs
@@ -18,6 +18,8 @@
     pub copies: u16,
     /// From now, how long until the viewer gives up.
     pub setup_timeout: Span,
+    /// Whoever asks: the door is fair between clients.
+    pub client: u64,
 }
 
 /// What a node tells of its load: link, uplink, streams, each where told.
--- a/crates/judge/src/rules.rs
+++ b/crates/judge/src/rules.rs
@@ -27,6 +27,8 @@
     /// Utility answered within the start target over utility asked for.
     pub service: f64,
     pub viewers: usize,
+    /// By service group: its name, the part of its viewers answered in time, and how many they were.
+    pub groups: Vec<(String, f64, usize)>,
 }
 
 impl Verdict {
@@ -52,7 +54,9 @@
             f,
             "service {:.3} (utility answered within the start target) of {} viewers",
             self.service, self.viewers
-        )
+        )?;
+        let groups = self.groups.iter().map(|(name, part, of)| format!("{name} {part:.3} of {of}"));
+        writeln!(f, "groups  {}", groups.collect::<Vec<_>>().join(", "))
     }
 }
 
@@ -168,28 +172,34 @@
         terms(plan, &requests, &setups),
         ration(plan, &requests, &setups),
     ];
-    let (service, viewers) = service(&requests);
-    Verdict { findings, service, viewers }
+    let (service, viewers) = service(&requests, |_| true);
+    let group = |group: &Group| {
+        let (service, viewers) = self::service(&requests, |other| other.name == group.name);
+        (group.name.clone(), service, viewers)
+    };
+    let groups = plan.groups.iter().map(group).filter(|(.., viewers)| *viewers > 0).collect();
+    Verdict { findings, service, viewers, groups }
 }
 
 /// Rule 1: each request of a running director has exactly one answer before its setup timeout.
 fn lost(traffic: &Traffic, requests: &Requests) -> Finding {
     let mut broken = Vec::new();
+    // A director that was killed, or stood still, was not running.
+    let stops: Vec<(u16, f64, f64)> = traffic
+        .sights
+        .iter()
+        .filter_map(|sight| match sight.what {
+            What::DirectorKilled { director } => Some((director, sight.at, sight.at + traffic.plan.slack)),
+            What::DirectorStood { director, from } => Some((director, from, sight.at)),
+            _ => None,
+        })
+        .collect();
     let (mut plays, mut busy, mut failed, mut left, mut excused) = (0, 0, 0, 0, 0);
     for (&(viewer, again), request) in requests {
         let ends = request.at + request.setup_timeout;
-        // A director that was killed, or stood still, was not running.
-        let stopped = traffic.sights.iter().any(|sight| match sight.what {
-            What::DirectorKilled { director } => {
-                director == request.director
-                    && sight.at >= request.at - traffic.plan.slack
-                    && sight.at <= ends
-            }
-            What::DirectorStood { director, from } => {
-                director == request.director && from <= ends && sight.at >= request.at
-            }
-            _ => false,
-        });
+        let stopped = stops
+            .iter()
+            .any(|&(director, from, to)| director == request.director && from <= ends && to >= request.at);
         let who = format!("viewer {viewer} try {again} at director {}", request.director);
         match request.answers.as_slice() {
             [(at, status)] => {
@@ -457,11 +467,11 @@
     Finding { rule: 6, name, counts, broken }
 }
 
-fn service(requests: &Requests) -> (f64, usize) {
+fn service(requests: &Requests, of: impl Fn(&Group) -> bool) -> (f64, usize) {
     // By viewer: what it is worth, and whether one of its tries was answered in time.
     let mut viewers: BTreeMap<u64, (f64, bool)> = BTreeMap::new();
     for (&(viewer, _), request) in requests {
-        let Some(group) = request.group else { continue };
+        let Some(group) = request.group.filter(|group| of(group)) else { continue };
         let in_time = |&(at, status): &(f64, u16)| status == 200 && at - request.at <= group.start_target;
         let entry = viewers.entry(viewer).or_insert((group.utility, false));
         entry.1 |= request.answers.iter().any(in_time);
--- a/crates/lab/src/day.rs
+++ b/crates/lab/src/day.rs
@@ -68,7 +68,7 @@
         Kind::Unset => return Err(at.trouble(&field("kind"), "is left out")),
         Kind::FastErrors | Kind::Reset => (0.0, 1.0),
         Kind::Slow | Kind::Neighbour | Kind::OriginSlow | Kind::Burst => (1.0, 100.0),
-        Kind::Ageing | Kind::SlowSetup => (1.0, 60_000.0),
+        Kind::Ageing | Kind::SlowSetup | Kind::SetupQueue => (1.0, 60_000.0),
         Kind::DiscoveryStale | Kind::BalancerRoll | Kind::Keeps => (0.0, 600.0),
         _ => (f64::MIN, f64::MAX),
     };
--- a/crates/lab/src/directors.rs
+++ b/crates/lab/src/directors.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
+use std::process::Stdio;
 use std::sync::Mutex;
 
 use ashglade_judge::What;
@@ -78,7 +79,13 @@
         if record {
             command.arg("--record").arg(folder.join("rounds.jsonl"));
         }
-        let child = command.stderr(log).kill_on_drop(true).spawn().map_err(|e| e.to_string())?;
+        let child = command
+            .stdin(Stdio::null())
+            .stdout(Stdio::null())
+            .stderr(log)
+            .kill_on_drop(true)
+            .spawn()
+            .map_err(|e| e.to_string())?;
         self.put(number, Some(child));
         for _ in 0..200 {
             if tokio::net::TcpStream::connect(address).await.is_ok() {
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -4,6 +4,7 @@
 mod day;
 mod directors;
 mod lists;
+mod matrix;
 mod measure;
 mod play;
 mod trouble;
@@ -40,6 +41,14 @@
     Judge { traffic: PathBuf },
     /// Writes a day file, scaled to one machine, with the troubles of a day that the bench drew.
     FromBench { day: PathBuf },
+    /// Plays each kind of trouble against each care of a service group and each stage of a session.
+    Matrix {
+        #[arg(long, default_value = "target/matrix")]
+        out: PathBuf,
+        /// Only fragile groups, and only while sessions are set up.
+        #[arg(long)]
+        short: bool,
+    },
     /// Measures what the way through a director costs, against the straight way.
     Measure {
         #[arg(long, default_value = "target/measure")]
@@ -66,9 +75,12 @@
             print!("{text}");
             true
         }),
+        Command::Matrix { out, short } => run(play_matrix(out, short)),
         Command::Measure { out } => run(measure::measure(&out)).map(|()| true),
         Command::Copy { from } => run(measure::copy(from)).map(|()| true),
         Command::Director { settings, record } => {
+            // A lab that is killed must not leave its directors behind.
+            let _ = nix::sys::prctl::set_pdeathsig(nix::sys::signal::Signal::SIGKILL);
             tracing_subscriber::fmt().with_ansi(false).with_writer(std::io::stderr).init();
             run(async {
                 ashglade_director::serve(Options { settings, record }).await.map_err(|e| e.to_string())
@@ -100,7 +112,7 @@
     let count = |n: &std::sync::atomic::AtomicU64| n.load(Ordering::Relaxed);
     let report = format!(
         "{}media   {} packets, {} of another SSRC, {} steps back in the sequence, {} breaks\norphans {} sessions left \
-         at nodes, {:.1} s held by nobody; directors {}\n",
+         at nodes, {:.1} s held by nobody; directors {}\nset-ups {}\nmemory  {}\n",
         played.verdict,
         count(&media.packets),
         count(&media.foreign),
@@ -109,6 +121,8 @@
         played.orphans,
         played.orphaned,
         if played.ended_well { "ended well" } else { "did not end well" },
+        played.times,
+        played.memory,
     );
     print!("{report}");
     let path = out.join("report.txt");
@@ -117,6 +131,19 @@
     Ok(played.verdict.held() && played.orphans == 0 && played.ended_well && continuous)
 }
 
+async fn play_matrix(out: PathBuf, short: bool) -> Result<bool, String> {
+    let (cares, stages) = if short {
+        (&matrix::CARES[2..], &matrix::STAGES[..1])
+    } else {
+        (&matrix::CARES[..], &matrix::STAGES[..])
+    };
+    let cells = matrix::play(&out, cares, stages).await?;
+    for cell in &cells {
+        println!("{} {} {}", cell.name, if cell.held { "held  " } else { "BROKEN" }, cell.counts);
+    }
+    Ok(!cells.is_empty() && cells.iter().all(|cell| cell.held))
+}
+
 fn judge(path: &std::path::Path) -> Result<bool, String> {
     let text = std::fs::read_to_string(path).map_err(|e| format!("{}: {e}", path.display()))?;
     let traffic = ashglade_judge::Traffic::read(&text).map_err(|e| format!("{}: {e}", path.display()))?;
--- /dev/null
+++ b/crates/lab/src/matrix.rs
@@ -0,0 +1,89 @@
+//! Each kind of trouble against each care of a service group, at each stage of a session: a short day for each cell,
+//! a few at a time, one line each.
+
+use std::path::Path;
+use std::sync::Arc;
+
+use tokio::sync::Semaphore;
+use tokio::task::JoinSet;
+
+use crate::day::{self, Day};
+use crate::play;
+
+/// Troubles as they are written in a day file, without their times.
+pub const TROUBLES: [(&str, &str); 8] = [
+    ("answer_lost", "on: 0 on: 1 on: 2"),
+    ("hang", "on: 0 on: 1 on: 2"),
+    ("reset", "size: 0.7 on: 0 on: 1 on: 2"),
+    ("fast_errors", "size: 0.7 on: 0 on: 1 on: 2"),
+    ("slow_setup", "size: 900 on: 0 on: 1 on: 2"),
+    ("vanish", "on: 0 on: 1"),
+    ("drain", "on: 0 on: 1"),
+    ("peer_down", "on: 0"),
+];
+pub const CARES: [&str; 3] = ["SAFE", "DEDUP", "FRAGILE"];
+/// When the trouble begins: before the first SETUP, or when sessions play.
+pub const STAGES: [(&str, f64); 2] = [("setting up", 0.2), ("playing", 2.0)];
+
+/// Cells played at once.
+const AT_ONCE: usize = 6;
+
+pub struct Cell {
+    pub name: String,
+    pub held: bool,
+    pub counts: String,
+}
+
+fn cell(kind: &str, more: &str, care: &str, at: f64) -> Result<Day, String> {
+    let kept =
+        include_str!("../../../days/bad-day.txtpb").lines().filter(|line| !line.starts_with("trouble"));
+    let text = kept
+        .collect::<Vec<_>>()
+        .join("\n")
+        // Every group with this care; a fifth of the viewers leaves before it is answered.
+        .replace("care: FRAGILE", "care: SAFE")
+        .replace("care: SAFE", &format!("care: {care} repeat_window_ms: 2500"))
+        .replace("impatient: 0.02", "impatient: 0.2")
+        .replace("seconds: 30\ndirectors: 2", "seconds: 4\ndirectors: 1")
+        .replace("count: 12", "count: 6")
+        .replace("cells: 12 racks: 2", "cells: 6 racks: 1")
+        .replace("home: 6", "home: 0")
+        .replace("home: 8", "home: 1")
+        .replace("home: 10", "home: 2")
+        .replace("watch_to_s: 12", "watch_to_s: 5")
+        .replace("drain_grace_ms: 500", "drain_grace_ms: 1500\nslack_ms: 250");
+    let text = format!("{text}\ntrouble {{ kind: {kind} at_s: {at} for_s: 2 {more} }}\n");
+    day::parse("the matrix", &text).map_err(|e| e.to_string())
+}
+
+/// Plays the cells with these cares and stages.
+pub async fn play(out: &Path, cares: &[&str], stages: &[(&str, f64)]) -> Result<Vec<Cell>, String> {
+    let places = Arc::new(Semaphore::new(AT_ONCE));
+    let mut running = JoinSet::new();
+    for (kind, more) in TROUBLES {
+        for care in cares {
+            for (stage, at) in stages {
+                let day = cell(kind, more, care, *at)?;
+                let name = format!("{kind:11} {care:7} {stage:10}");
+                let folder = out.join(format!("{kind}-{care}-{stage}").replace(' ', "-"));
+                let places = places.clone();
+                let order = running.len();
+                running.spawn(async move {
+                    let _place = places.acquire_owned().await;
+                    let played = play::play(&day, &folder, false, true).await;
+                    played.map(|played| (order, name, played))
+                });
+            }
+        }
+    }
+    let mut cells = Vec::new();
+    while let Some(done) = running.join_next().await {
+        let (order, name, played) = done.map_err(|e| e.to_string())??;
+        let held = played.verdict.held() && played.orphans == 0;
+        let finding = |rule: usize| played.verdict.findings.get(rule).map_or("", |f| f.counts.as_str());
+        let counts = format!("{}; {}", finding(0), finding(1));
+        cells.push((order, Cell { name, held, counts }));
+    }
+    cells.sort_by_key(|(order, _)| *order);
+    Ok(cells.into_iter().map(|(_, cell)| cell).collect())
+}
--- a/crates/lab/src/measure.rs
+++ b/crates/lab/src/measure.rs
@@ -166,7 +166,7 @@
 }
 
 /// CPU seconds of a process so far, and its resident memory in kB.
-fn usage(pid: u32) -> Result<(f64, f64), String> {
+pub fn usage(pid: u32) -> Result<(f64, f64), String> {
     let read = |name: &str| std::fs::read_to_string(format!("/proc/{pid}/{name}")).map_err(|e| e.to_string());
     let stat = read("stat")?;
     let fields: Vec<&str> = stat.rsplit(')').next().unwrap_or_default().split_whitespace().collect();
--- a/crates/lab/src/play.rs
+++ b/crates/lab/src/play.rs
@@ -7,7 +7,7 @@
 
 use ashglade::ids::{Cell, Model, Zone};
 use ashglade::interface::Place;
-use ashglade_judge::{self as judge, Plan, Traffic, Verdict};
+use ashglade_judge::{self as judge, Plan, Traffic, Verdict, What};
 use ashglade_roster::{Entry, Standing};
 use ashglade_settings::Settings;
 use ashglade_standin::node::ColdPace;
@@ -29,6 +29,10 @@
     pub orphans: usize,
     /// Seconds for which nodes held sessions that nobody had.
     pub orphaned: f64,
+    /// From SETUP to 200, as viewers saw it.
+    pub times: String,
+    /// The first director's, over the day.
+    pub memory: String,
     /// Directors ended by themselves and well.
     pub ended_well: bool,
 }
@@ -103,8 +107,10 @@
     let total = scripts.len();
     let mut viewers = JoinSet::new();
     let mut shown = begun;
+    let mut memory = Memory::default();
     for (at, script) in scripts {
         tokio::time::sleep_until(begun + at).await;
+        memory.look(&stage.directors, begun.elapsed());
         viewers.spawn(viewer::run(script, log.clone(), media.clone()));
         if !quiet && shown.elapsed() >= Duration::from_secs(5) {
             shown = Instant::now();
@@ -128,7 +134,55 @@
     if !quiet {
         println!("{total} viewers in {:.1} s", begun.elapsed().as_secs_f64());
     }
-    Ok(Played { verdict, media, orphans, orphaned, ended_well })
+    Ok(Played { verdict, media, orphans, orphaned, times: times(&log), memory: memory.text(), ended_well })
+}
+
+/// Resident memory of the first director, once a second.
+#[derive(Default)]
+struct Memory(Vec<(u64, f64)>);
+
+impl Memory {
+    fn look(&mut self, directors: &Directors, at: Duration) {
+        if self.0.last().is_none_or(|(last, _)| *last < at.as_secs())
+            && let Some(Ok((_, kb))) = directors.pid(0).map(crate::measure::usage)
+        {
+            self.0.push((at.as_secs(), kb));
+        }
+    }
+
+    /// At the ends of the day's thirds: flat memory shows between the last two.
+    fn text(&self) -> String {
+        let at = |part: usize| self.0.get((self.0.len() * part / 3).max(1) - 1);
+        let one = |part| at(part).map_or(String::new(), |(s, kb)| format!("{kb:.0} kB after {s} s"));
+        [1, 2, 3].map(one).join(", ")
+    }
+}
+
+fn times(log: &Log) -> String {
+    let mut asked = std::collections::HashMap::new();
+    let mut times = hdrhistogram::Histogram::<u64>::new(3).ok();
+    for sight in log.sights() {
+        match sight.what {
+            What::Asked { viewer, again, .. } => drop(asked.insert((viewer, again), sight.at)),
+            What::Answered { viewer, again, status: 200 } => {
+                if let (Some(at), Some(times)) = (asked.remove(&(viewer, again)), &mut times) {
+                    let _ = times.record(((sight.at - at) * 1e3).max(0.0) as u64);
+                }
+            }
+            _ => {}
+        }
+    }
+    times.map_or(String::new(), |t| {
+        let q = |q| t.value_at_quantile(q) as f64 / 1e3;
+        format!(
+            "{} answered 200; ms median {:.2}, p90 {:.2}, p99 {:.2}, most {:.1}",
+            t.len(),
+            q(0.5),
+            q(0.9),
+            q(0.99),
+            q(1.0)
+        )
+    })
 }
 
 /// Waits a moment for nodes to notice that connections are closed; the sessions that are left.
--- a/crates/lab/src/trouble.rs
+++ b/crates/lab/src/trouble.rs
@@ -67,6 +67,12 @@
             tokio::time::sleep(span).await;
             faults(|f, _| f.delay = Duration::ZERO, size);
         }
+        Kind::SetupQueue => {
+            let size = size / 1e3;
+            faults(|f, size| (f.queue, f.delay) = (true, Duration::from_secs_f64(size)), size);
+            tokio::time::sleep(span).await;
+            faults(|f, _| (f.queue, f.delay) = (false, Duration::ZERO), size);
+        }
         Kind::Keeps => {
             faults(|f, size| f.keeps = Duration::from_secs_f64(size), size);
             tokio::time::sleep(span).await;
--- a/crates/lab/tests/days.rs
+++ b/crates/lab/tests/days.rs
@@ -74,6 +74,16 @@
     assert!(said.contains("1 starts, "), "{said}");
 }
 
+#[test]
+fn fragile_sessions_through_each_kind_of_trouble() {
+    let folder = tempfile::tempdir().unwrap();
+    let mut command = Command::new(env!("CARGO_BIN_EXE_ashglade-lab"));
+    let done = command.args(["matrix", "--short", "--out"]).arg(folder.path()).output().unwrap();
+    let said = String::from_utf8_lossy(&done.stdout).into_owned() + &String::from_utf8_lossy(&done.stderr);
+    assert!(done.status.success(), "{said}");
+    assert_eq!(said.matches("held").count(), 8, "{said}");
+}
+
 #[test]
 fn a_day_that_can_t_be_played_is_told_by_line_and_field() {
     let cases = [
@@ -99,12 +109,12 @@
     }
     expect_test::expect![[r#"
         day.txtpb:3: seconds: is 0; 1 to 3600 is wanted
-        day.txtpb:65: nodes[0].count: is 0; 1 to 500 is wanted
-        day.txtpb:65: nodes[0].model: names "huge"; there is small
-        day.txtpb:74: viewers.group_share: must have as many shares as there are service groups
+        day.txtpb:66: nodes[0].count: is 0; 1 to 500 is wanted
+        day.txtpb:66: nodes[0].model: names "huge"; there is small
+        day.txtpb:75: viewers.group_share: must have as many shares as there are service groups
         headend.txtpb:1: rung[1].kb_per_s: the ladder must rise from rung to rung
-        day.txtpb:81: trouble[0].size: is 0.5; 1 to 100 is wanted
-        day.txtpb:81: trouble[0].on[0]: is 12; 0 to 11 is wanted
+        day.txtpb:82: trouble[0].size: is 0.5; 1 to 100 is wanted
+        day.txtpb:82: trouble[0].on[0]: is 12; 0 to 11 is wanted
     "#]]
     .assert_eq(&told);
 }
--- a/crates/settings/src/headend.rs
+++ b/crates/settings/src/headend.rs
@@ -49,6 +49,17 @@
     pub ledger: Option<String>,
 }
 
+/// The fair door.
+#[derive(Clone, Debug)]
+pub struct Door {
+    /// By service group.
+    pub shares: Vec<f64>,
+    pub most_waiting: usize,
+    /// Set-ups in hand at once: at first, at least, at most.
+    pub hands: (f64, f64, f64),
+    pub client_query: Option<String>,
+}
+
 #[derive(Clone, Debug)]
 pub struct Settings {
     pub headend: Headend,
@@ -60,6 +71,7 @@
     pub probe_timeout: Span,
     pub most_sessions: usize,
     pub front: Front,
+    pub door: Option<Door>,
     /// Path of the box list, as written.
     pub box_list: String,
 }
@@ -222,6 +234,10 @@
         ask_list_within: None,
     };
     let front = front(&at, at.need("front", read.front.as_ref())?, &group_names)?;
+    let door = match &read.door {
+        Some(door) => Some(self::door(&at, door, &read.group)?),
+        None => None,
+    };
     let most = limits.most_sessions.map(f64::from);
     Ok(Settings {
         names: Names { zones, models, cells: cells as u16 },
@@ -232,6 +248,7 @@
         probe_timeout,
         most_sessions: at.within("limits.most_sessions", most, 1.0, 1e7)? as usize,
         front,
+        door,
         box_list: named(&at, "box_list", &read.box_list)?,
         headend,
     })
@@ -277,6 +294,25 @@
     Ok((group, Span::from_ms(timeout)))
 }
 
+fn door(at: &Source, d: &schema::Door, groups: &[schema::Group]) -> Result<Door, Trouble> {
+    let mut shares = Vec::new();
+    for (i, group) in groups.iter().enumerate() {
+        let share = Some(group.share.unwrap_or(1.0));
+        shares.push(at.within(&format!("group[{i}].share"), share, 1e-3, 1e6)?);
+    }
+    let count = |name: &str, value: Option<u32>, from: f64| {
+        at.within(&format!("door.{name}"), value.map(f64::from), from, 1e6)
+    };
+    let least = count("least", d.least, 1.0)?;
+    let first = count("first", d.first, least)?;
+    Ok(Door {
+        shares,
+        most_waiting: count("most_waiting", d.most_waiting, 1.0)? as usize,
+        hands: (first, least, count("most", d.most, first)?),
+        client_query: d.client_query.clone(),
+    })
+}
+
 fn front(at: &Source, f: &schema::Front, groups: &[String]) -> Result<Front, Trouble> {
     let time = |name: &str, value: Option<u32>| -> Result<Duration, Trouble> {
         let ms = at.within(&format!("front.{name}"), value.map(f64::from), 1.0, DAY)?;
--- a/crates/standin/src/connection.rs
+++ b/crates/standin/src/connection.rs
@@ -273,12 +273,18 @@
         let stream = Stream::new(rate, self.out.clone(), channels.rtp, clock_rate, random);
         state.streams.insert((self.number, track), stream);
         drop(state);
+        let mut at = Instant::now();
+        if faults.queue {
+            let mut state = self.node.state();
+            at = at.max(state.busy_until);
+            state.busy_until = at + faults.delay;
+        }
         let mut ok = answer(StatusCode::Ok);
         ok.insert_header(headers::TRANSPORT, channels.granted(Some(random as u32)));
         match faults.answer_lost && !further {
             true => Reply::Lost,
             false if faults.delay.is_zero() => Reply::Now(ok),
-            false => Reply::At(Instant::now() + faults.delay, ok),
+            false => Reply::At(at + faults.delay, ok),
         }
     }
 }
--- a/crates/standin/src/node.rs
+++ b/crates/standin/src/node.rs
@@ -51,6 +51,8 @@
     pub resets: f64,
     /// What a SETUP takes.
     pub delay: Duration,
+    /// SETUPs are handled one after the other.
+    pub queue: bool,
     /// The link gives so much less, as a divisor.
     pub link_cut: f64,
     /// Load is told as it was when this began.
@@ -109,6 +111,8 @@
     /// Sessions whose connection is gone, and since when.
     pub orphans: BTreeMap<u64, Instant>,
     pub orphaned: Duration,
+    /// When the last SETUP in the queue will have been handled.
+    pub busy_until: Instant,
     frozen: Load,
     next_connection: u64,
     pub random: oorandom::Rand64,
@@ -207,6 +211,7 @@
                 streams: BTreeMap::new(),
                 orphans: BTreeMap::new(),
                 orphaned: Duration::ZERO,
+                busy_until: started,
                 frozen: Load::default(),
                 next_connection: 0,
                 random: oorandom::Rand64::new(u128::from(seed) << 32 | i as u128),
--- a/crates/standin/src/viewer.rs
+++ b/crates/standin/src/viewer.rs
@@ -125,7 +125,7 @@
     media: &Media,
 ) -> End {
     let viewer = script.id;
-    let query = format!("group={}&top={}&viewer={viewer}.{again}", script.group, script.top);
+    let query = format!("group={}&top={}&viewer={viewer}.{again}&client=v{viewer}", script.group, script.top);
     let Ok(url) = Url::parse(&format!("rtsp://{address}/{}?{query}", script.title)) else {
         return End::Left;
     };
