--- a/crates/director/src/pool.rs
+++ b/crates/director/src/pool.rs
@@ -14,6 +14,8 @@
 
 pub type Connection = Framed<TcpStream, Codec>;
 
+/// Bytes read from a node at once, at first.
+const READ: usize = 16 * 1024;
 /// An idle connection is held for so long: under the time after which most servers close it.
 const IDLE: Duration = Duration::from_secs(20);
 
@@ -55,6 +57,6 @@
         }
         let stream = tokio::time::timeout(within, TcpStream::connect(node)).await??;
         stream.set_nodelay(true)?;
-        Ok(Framed::new(stream, Codec::default()))
+        Ok(Framed::with_capacity(stream, Codec::relaying(), READ))
     }
 }
--- a/crates/director/src/session.rs
+++ b/crates/director/src/session.rs
@@ -4,7 +4,6 @@
 use ashglade_rtsp::presentation::{self, Asked};
 use ashglade_rtsp::rewrite::{Meter, Rewriter};
 use ashglade_rtsp::rtcp::{self, Heard};
-use bytes::BytesMut;
 use tokio::sync::mpsc;
 use tokio::time::Instant;
 
@@ -77,7 +76,7 @@
     }
 
     /// Makes a frame of the node's one of the viewer's stream.
-    pub fn frame(&mut self, channel: u8, payload: &mut BytesMut, now_us: u64) -> Frame {
+    pub fn frame(&mut self, channel: u8, payload: &mut [u8], now_us: u64) -> Frame {
         let of = self.node.as_ref().and_then(|node| node.client.track_of(channel));
         let Some((number, rtp)) = of else { return Frame::Stray };
         let Some(track) = self.tracks.get_mut(usize::from(number)) else { return Frame::Stray };
--- a/crates/director/src/viewer.rs
+++ b/crates/director/src/viewer.rs
@@ -10,6 +10,7 @@
 use ashglade::interface::Ending;
 use ashglade_engine::{Answer, Input, Want};
 use ashglade_rtsp::client::{self, Purpose};
+use ashglade_rtsp::codec::FRAME_HEADER;
 use ashglade_rtsp::presentation::Asked;
 use ashglade_rtsp::server::{Server, State, Step};
 use ashglade_rtsp::{Codec, Fault, Packet, Request, Response, messages, rtcp};
@@ -17,6 +18,7 @@
 use futures_util::{SinkExt, StreamExt};
 use rtsp_types::{Method, StatusCode, Url, headers};
 use siphasher::sip::SipHasher13;
+use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 use tokio::sync::{mpsc, watch};
 use tokio::time::Instant;
@@ -45,6 +47,8 @@
     draining: watch::Receiver<bool>,
     /// Requests of ours to the viewer.
     cseq: u32,
+    /// Frames that wait to be passed on.
+    frames: BytesMut,
 }
 
 /// The connection is at its end.
@@ -70,8 +74,8 @@
     let _ = stream.set_nodelay(true);
     let connection = Framed::new(stream, Codec::default());
     let (last_word, draining) = (Instant::now(), shared.draining.subscribe());
-    let (queue, live) = (VecDeque::new(), None);
-    let mut viewer = Viewer { shared, connection, server, queue, live, last_word, draining, cseq: 0 };
+    let (queue, live, frames) = (VecDeque::new(), None, BytesMut::new());
+    let mut viewer = Viewer { shared, connection, server, queue, live, last_word, draining, cseq: 0, frames };
     let mut tick = tokio::time::interval(TICK);
     tick.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     loop {
@@ -137,7 +141,7 @@
                         }
                     }
                     // To our REDIRECT; nothing hangs on it.
-                    Packet::Response(_) => {}
+                    Packet::Response(_) | Packet::Raw(_) => {}
                 }
             }
             Event::Node(Some(Ok(packet))) => self.node_sent(packet).await?,
@@ -159,7 +163,15 @@
     /// Sends what has been fed; a viewer that takes nothing for too long is dropped.
     async fn flush(&mut self) -> Result<(), Closed> {
         let within = self.shared.settings.front.write_timeout;
-        let sent = tokio::time::timeout(within, self.connection.flush()).await;
+        let sent = async {
+            self.connection.flush().await?;
+            if !self.frames.is_empty() {
+                let mut frames = std::mem::take(&mut self.frames);
+                self.connection.get_mut().write_all_buf(&mut frames).await?;
+            }
+            Ok::<(), Fault>(())
+        };
+        let sent = tokio::time::timeout(within, sent).await;
         matches!(sent, Ok(Ok(()))).then_some(()).ok_or(Closed)
     }
 
@@ -357,13 +369,14 @@
         let mut packet = first;
         for _ in 0..BATCH {
             match packet {
-                Packet::Frame { channel, payload } => self.frame(channel, payload).await?,
+                Packet::Raw(bytes) => self.frame(bytes).await?,
                 Packet::Response(response) => {
+                    self.flush().await?;
                     self.answered(response).await?;
                     break;
                 }
                 // Nodes ask nothing of a front that it would have to answer (RFC 2326, 10.1 aside).
-                Packet::Request(_) => {}
+                Packet::Request(_) | Packet::Frame { .. } => {}
             }
             match self.live.as_mut().and_then(|live| live.node.as_mut()).and_then(|node| node.at_hand()) {
                 Some(Some(Ok(next))) => packet = next,
@@ -377,10 +390,12 @@
         self.flush().await
     }
 
-    async fn frame(&mut self, channel: u8, mut payload: BytesMut) -> Result<(), Closed> {
+    /// Makes a frame the viewer's and puts it behind those that wait to be passed on. They lie side by side where the
+    /// node sent them so, and are then joined without being copied.
+    async fn frame(&mut self, mut bytes: BytesMut) -> Result<(), Closed> {
         let now = self.shared.clock.micros();
         let Some(live) = &mut self.live else { return Ok(()) };
-        let frame = live.frame(channel, &mut payload, now);
+        let frame = live.frame(bytes[1], &mut bytes[FRAME_HEADER..], now);
         let channels = |track| self.server.channels(track);
         let (channel, over) = match frame {
             Frame::Rtp { track } => (channels(track).map(|c| c.rtp), false),
@@ -389,13 +404,15 @@
             Frame::Stray => (None, false),
         };
         if let Some(channel) = channel {
-            self.feed(Packet::Frame { channel, payload }).await?;
+            bytes[1] = channel;
+            self.frames.unsplit(bytes);
         }
         if over { self.played_out().await } else { Ok(()) }
     }
 
     /// The node ended the stream: the session has played.
     async fn played_out(&mut self) -> Result<(), Closed> {
+        self.flush().await?;
         let Some(mut live) = self.live.take() else { return Ok(()) };
         info!(sess = live.sess.0, "played out");
         self.shared.core.tell(Input::Over { sess: live.sess, how: Ending::Played }).await;
--- a/crates/director/tests/whole_path.rs
+++ b/crates/director/tests/whole_path.rs
@@ -194,7 +194,7 @@
                 let same = payload[8..12] == ssrc.to_be_bytes();
                 trace.line(format!("player: frame on {channel} seq {seq}, as announced: {same}"));
             }
-            Packet::Request(_) => panic!("a request"),
+            other => panic!("{other:?}"),
         }
     }
     let status = player.status(Method::Teardown).await;
--- a/crates/rtsp/src/codec.rs
+++ b/crates/rtsp/src/codec.rs
@@ -35,8 +35,13 @@
         channel: u8,
         payload: BytesMut,
     },
+    /// The same as it came, with its four bytes of header, from a codec that was made by [`Codec::relaying`].
+    Raw(BytesMut),
 }
 
+/// Bytes of a frame before its payload; the second is the channel.
+pub const FRAME_HEADER: usize = 4;
+
 /// Why a connection can't go on. Only the connection that it came in on is concerned.
 #[derive(Debug, thiserror::Error)]
 pub enum Fault {
@@ -84,6 +89,8 @@
     whole: Option<usize>,
     /// Nothing after a fault is read.
     broken: bool,
+    /// Frames keep their headers.
+    raw: bool,
 }
 
 impl Codec {
@@ -91,6 +98,12 @@
         Codec { limits, ..Codec::default() }
     }
 
+    /// One that gives frames as they came: those that follow each other lie side by side, so that a relay can pass them
+    /// on together without copying them.
+    pub fn relaying() -> Codec {
+        Codec { raw: true, ..Codec::default() }
+    }
+
     fn frame(&self, src: &mut BytesMut) -> Result<Option<Packet>, Fault> {
         if src.len() < 4 {
             return Ok(None);
@@ -103,7 +116,10 @@
             src.reserve(4 + length - src.len());
             return Ok(None);
         }
-        src.advance(4);
+        if self.raw {
+            return Ok(Some(Packet::Raw(src.split_to(FRAME_HEADER + length))));
+        }
+        src.advance(FRAME_HEADER);
         Ok(Some(Packet::Frame { channel, payload: src.split_to(length) }))
     }
 
@@ -230,6 +246,10 @@
         match packet {
             Packet::Request(request) => request.write(&mut dst.writer()).map_err(failed),
             Packet::Response(response) => response.write(&mut dst.writer()).map_err(failed),
+            Packet::Raw(bytes) => {
+                dst.extend_from_slice(&bytes);
+                Ok(())
+            }
             Packet::Frame { channel, payload } => {
                 let length =
                     u16::try_from(payload.len()).ok().filter(|&l| usize::from(l) <= self.limits.frame);
--- a/crates/rtsp/tests/codec.rs
+++ b/crates/rtsp/tests/codec.rs
@@ -14,6 +14,7 @@
         }
         Packet::Response(r) => format!("{} +{}", u16::from(r.status()), r.body().len()),
         Packet::Frame { channel, payload } => format!("${channel} {}", payload.len()),
+        Packet::Raw(bytes) => format!("raw ${} {}", bytes[1], bytes.len()),
     }
 }
 
