Door: retries known and rationed, promises tracked, a live view for operators

Need: a retry-after that proves wrong must not bring everyone back, and who comes early must gain nothing by it.

Change: what a client was told is held in a bounded table; one that comes at its moment goes first, one that comes early is told the same moment again, beyond a tenth of first tries at once; one that was sent away in vain is told for twice as long, spread wider. What became of promises is counted and shown by ashglade door.

--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -40,6 +40,11 @@
         #[arg(long)]
         settings: PathBuf,
     },
+    /// Shows the door of the director that runs with these settings: who waits, the limit, what became of promises.
+    Door {
+        #[arg(long)]
+        settings: PathBuf,
+    },
     /// Plays a recorded run again and compares what comes out.
     Replay {
         #[arg(long)]
@@ -85,6 +90,13 @@
             }
             Err(trouble) => fail(trouble),
         },
+        Command::Door { settings } => match door(&settings) {
+            Ok(text) => {
+                print!("{text}");
+                ExitCode::SUCCESS
+            }
+            Err(trouble) => fail(trouble),
+        },
         Command::Replay { settings, record } => match replay(&settings, &record) {
             Ok((rounds, effects)) => {
                 println!("{rounds} rounds, {effects} effects, all the same");
@@ -95,6 +107,32 @@
     }
 }
 
+fn door(path: &std::path::Path) -> Result<String, String> {
+    let (settings, ..) = ashglade_director::load(path).map_err(|e| e.to_string())?;
+    let at = ashglade_director::door_view(&settings, path).ok_or("settings name no door.view")?;
+    let trouble = |e: &dyn std::fmt::Display| format!("{}: {e}", at.display());
+    let text = std::fs::read_to_string(&at).map_err(|e| trouble(&e))?;
+    let age = std::fs::metadata(&at).and_then(|m| m.modified()).map_err(|e| trouble(&e))?;
+    let age = age.elapsed().map_or(0.0, |age| age.as_secs_f64());
+    let view: ashglade_engine::DoorView = serde_json::from_str(&text).map_err(|e| trouble(&e))?;
+    let mut told =
+        format!("as it was {age:.0} s ago\nset-ups in hand {} of {:.0}\n", view.inside, view.limit);
+    for (name, waiting) in settings.group_names.iter().zip(&view.waiting) {
+        told += &format!("waiting {waiting:5} {name}\n");
+    }
+    let (t, p) = (&view.tally, &view.promises);
+    told += &format!("offered {}, let in {}, of them after waiting {}\n", t.offered, t.let_in, t.waited);
+    told += &format!(
+        "sent away: {} no place, {} no hope, {} waited too long, {} too early\n",
+        t.no_place, t.hopeless, t.too_long, t.too_early
+    );
+    told += &format!(
+        "promises: {} made, {} came, {} of them went in; {} came early\n",
+        p.made, p.came, p.went_in, p.early
+    );
+    Ok(told)
+}
+
 fn replay(settings: &std::path::Path, record: &std::path::Path) -> Result<(usize, usize), String> {
     let (settings, ..) = ashglade_director::load(settings).map_err(|e| e.to_string())?;
     let text = std::fs::read_to_string(record).map_err(|e| format!("{}: {e}", record.display()))?;
--- a/crates/director/src/core.rs
+++ b/crates/director/src/core.rs
@@ -172,16 +172,28 @@
         inputs.extend(taken.drain(..).filter_map(|command| this.admit(command)));
         this.round(clock.now(), inputs);
         this.tear_down_owed(clock.now());
-        if clock.now() - flushed > ashglade::time::Span::from_secs(1.0)
-            && let Some(file) = &mut this.record
-        {
-            let _ = file.flush();
+        if clock.now() - flushed > ashglade::time::Span::from_secs(1.0) {
             flushed = clock.now();
+            this.each_second();
         }
     }
 }
 
 impl Loop {
+    /// Brings the record up to date and shows the door.
+    fn each_second(&mut self) {
+        if let Some(file) = &mut self.record {
+            let _ = file.flush();
+        }
+        if let (Some(door), Some(path)) = (self.engine.door(), &self.shared.door_view) {
+            let text = serde_json::to_string(&door.view()).unwrap_or_default();
+            let beside = path.with_extension("new");
+            if let Err(error) = std::fs::write(&beside, text).and_then(|()| std::fs::rename(&beside, path)) {
+                warn!(path = %path.display(), %error, "the view of the door can't be written");
+            }
+        }
+    }
+
     fn admit(&mut self, command: Command) -> Option<Input> {
         match command {
             Command::Input(input) => Some(input),
--- a/crates/director/src/lib.rs
+++ b/crates/director/src/lib.rs
@@ -13,4 +13,4 @@
 mod viewer;
 
 pub use clock::Clock;
-pub use serve::{Options, Trouble, load, replay_start, serve};
+pub use serve::{Options, Trouble, door_view, load, replay_start, serve};
--- a/crates/director/src/serve.rs
+++ b/crates/director/src/serve.rs
@@ -30,6 +30,8 @@
     /// Set when the director drains.
     pub draining: watch::Sender<bool>,
     pub users: Option<Arc<Users>>,
+    /// Where the door's view is written.
+    pub door_view: Option<PathBuf>,
     next_sess: AtomicU64,
     random: Mutex<oorandom::Rand64>,
 }
@@ -85,6 +87,12 @@
     Ok((settings, list, boxes))
 }
 
+/// Where a director with these settings writes what is to be seen of its door.
+pub fn door_view(settings: &Settings, path: &Path) -> Option<PathBuf> {
+    let view = settings.door.as_ref()?.view.as_ref()?;
+    Some(path.parent().unwrap_or(Path::new(".")).join(view))
+}
+
 /// What the engine is started with, from settings.
 pub fn replay_start(settings: &Settings) -> Start {
     let headend = &settings.headend;
@@ -128,6 +136,7 @@
         settings: settings.clone(),
         draining: watch::channel(false).0,
         users: settings.front.users.clone().map(|(realm, users)| Arc::new(Users { realm, users })),
+        door_view: door_view(&settings, &options.settings),
         next_sess: AtomicU64::new(started << 20),
         random: Mutex::new(oorandom::Rand64::new(
             u128::from(started) << 64 | u128::from(settings.headend.seed),
--- a/crates/door/src/fair.rs
+++ b/crates/door/src/fair.rs
@@ -140,6 +140,11 @@
         self.groups.iter().map(|group| group.len).sum()
     }
 
+    /// Requests that wait, by group.
+    pub fn waiting(&self) -> Vec<usize> {
+        self.groups.iter().map(|group| group.len).collect()
+    }
+
     pub fn is_empty(&self) -> bool {
         self.len() == 0
     }
--- a/crates/door/src/later.rs
+++ b/crates/door/src/later.rs
@@ -11,6 +11,7 @@
 use std::collections::BTreeMap;
 
 use ashglade::time::{Instant, Span};
+use serde::{Deserialize, Serialize};
 
 #[derive(Debug)]
 pub struct Later {
@@ -21,9 +22,47 @@
     handed: Instant,
     served: Rate,
     came: Rate,
-    /// By client: when it was told to come back.
-    promises: BTreeMap<u64, Instant>,
+    promises: BTreeMap<u64, Promise>,
     tidied: Instant,
+    /// What retries that come before their time may still use.
+    budget: f64,
+    pub kept: Kept,
+}
+
+/// What one client was told.
+#[derive(Clone, Copy, Debug)]
+struct Promise {
+    at: Instant,
+    /// Whether room was set aside for it at that moment.
+    room: bool,
+    /// How often in a row it was sent away.
+    times: u32,
+}
+
+/// What became of promises.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Kept {
+    pub made: u64,
+    /// Came back at their moment, and of those, went in.
+    pub came: u64,
+    pub went_in: u64,
+    /// Came before their moment, and of those, were sent away for it.
+    pub early: u64,
+    pub refused: u64,
+}
+
+/// How a request comes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Coming {
+    First,
+    /// At the moment that it was told, to room set aside for it.
+    Promised,
+    /// When it was told, though no room could be set aside, or long after.
+    Again,
+    /// Before it was told, within the budget of such retries.
+    Early,
+    /// Before it was told, and there are too many of them.
+    TooMany,
 }
 
 /// Events a second, by halving what is past.
@@ -42,6 +81,9 @@
 /// A promise is kept for so many seconds after its moment, and so many are held at most.
 const KEPT: f64 = 2.0;
 const MOST_PROMISES: usize = 16_384;
+/// Retries before their time are let in as this part of first tries, so many at once at most.
+const EARLY_PART: f64 = 0.1;
+const EARLY_MOST: f64 = 20.0;
 /// A part of what is told, at most, is added by chance.
 const SPREAD: f64 = 0.2;
 
@@ -78,23 +120,49 @@
             came: Rate::new(now),
             promises: BTreeMap::new(),
             tidied: now,
+            budget: 0.0,
+            kept: Kept::default(),
         }
     }
 
-    /// A request came; true if its client was told to come back about now.
-    pub fn came(&mut self, client: u64, now: Instant) -> bool {
+    /// A request came, in answer to what its client was told or not.
+    pub fn came(&mut self, client: u64, now: Instant) -> Coming {
         self.came.add(now);
-        let promised = self.promises.remove(&client);
-        promised.is_some_and(|at| now >= at && now - at <= Span::from_secs(KEPT))
+        let Some(&Promise { at, room, .. }) = self.promises.get(&client) else {
+            // Retries feed on first tries: a storm of them alone gets nothing.
+            self.budget = (self.budget + EARLY_PART).min(EARLY_MOST);
+            return Coming::First;
+        };
+        if now < at {
+            self.kept.early += 1;
+            if self.budget < 1.0 {
+                self.kept.refused += 1;
+                return Coming::TooMany;
+            }
+            self.budget -= 1.0;
+            return Coming::Early;
+        }
+        if room && now - at <= Span::from_secs(KEPT) {
+            self.kept.came += 1;
+            return Coming::Promised;
+        }
+        Coming::Again
+    }
+
+    /// A client's request went in: what it was told before is done with.
+    pub fn went_in(&mut self, client: u64, promised: bool) {
+        self.kept.went_in += u64::from(promised);
+        self.promises.remove(&client);
     }
 
-    fn promise(&mut self, client: u64, at: Instant, now: Instant) {
+    fn promise(&mut self, client: u64, promise: Promise, now: Instant) {
         if now - self.tidied > Span::from_secs(1.0) {
             self.tidied = now;
-            self.promises.retain(|_, at| now - *at <= Span::from_secs(KEPT));
+            self.promises.retain(|_, promise| now - promise.at <= Span::from_secs(KEPT));
         }
-        if self.promises.len() < MOST_PROMISES {
-            self.promises.insert(client, at);
+        if self.promises.len() < MOST_PROMISES || self.promises.contains_key(&client) {
+            self.kept.made += u64::from(promise.room);
+            self.promises.insert(client, promise);
         }
     }
 
@@ -109,15 +177,25 @@
         let most = self.most?;
         let served = self.served.a_second(now);
         let left = (served - (self.came.a_second(now) - served).max(0.0)).max(served * LEFT_OVER);
+        let before = self.promises.get(&client).copied();
+        let times = before.map_or(0, |promise| promise.times);
+        let chance = self.random.rand_float();
+        // One that comes before its time is told the same moment again: it gains nothing by it.
+        if let Some(promise) = before.filter(|promise| promise.at > now) {
+            return Some((promise.at - now).min(most));
+        }
         self.handed = self.handed.max(now + self.least);
         let mine = self.handed - now;
-        let chance = self.random.rand_float();
-        if mine >= most || left <= 0.0 || heavy {
-            return Some(most * (0.5 + 0.5 * chance));
+        // What was told and did not come true is told for longer, and spread wider, the next time.
+        let longer = self.least * f64::from(1u32 << times.min(4)) - self.least;
+        if mine + longer >= most || left <= 0.0 || heavy {
+            let after = most * (0.5 + 0.5 * chance);
+            self.promise(client, Promise { at: now + after, room: false, times: times + 1 }, now);
+            return Some(after);
         }
         self.handed = self.handed + Span::from_secs(1.0 / left);
-        let after = (mine * (1.0 + SPREAD * chance)).min(most);
-        self.promise(client, now + after, now);
+        let after = ((mine + longer) * (1.0 + SPREAD * chance)).min(most);
+        self.promise(client, Promise { at: now + after, room: true, times: times + 1 }, now);
         Some(after)
     }
 }
--- a/crates/door/src/lib.rs
+++ b/crates/door/src/lib.rs
@@ -21,7 +21,7 @@
 
 use fair::{Fair, Ticket};
 use heavy::Heavy;
-use later::Later;
+use later::{Coming, Kept, Later};
 use limit::Limit;
 
 /// What the door is set up with.
@@ -71,7 +71,7 @@
     Away { sess: Sess, retry_after: Option<Span> },
 }
 
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Tally {
     pub offered: u64,
     pub let_in: u64,
@@ -80,6 +80,20 @@
     pub no_place: u64,
     pub hopeless: u64,
     pub too_long: u64,
+    /// Came before they were told, and beyond the budget of such retries.
+    pub too_early: u64,
+}
+
+/// The door as operators see it.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct View {
+    /// Set-ups that may be in hand at once, and that are.
+    pub limit: f64,
+    pub inside: usize,
+    /// By service group.
+    pub waiting: Vec<usize>,
+    pub tally: Tally,
+    pub promises: Kept,
 }
 
 /// A part of the start target is the most that anyone waits: the rest is for the set-up itself.
@@ -124,6 +138,17 @@
         (self.fair.len(), self.inside.len())
     }
 
+    /// What is to be seen of the door just now.
+    pub fn view(&self) -> View {
+        View {
+            limit: self.limit.now(),
+            inside: self.inside.len(),
+            waiting: self.fair.waiting(),
+            tally: self.tally.clone(),
+            promises: self.later.kept.clone(),
+        }
+    }
+
     /// How many may be in hand at once just now.
     pub fn limit(&self) -> f64 {
         self.limit.now()
@@ -132,12 +157,15 @@
     /// A request comes. It waits in its queue; [`Door::round`] says what becomes of it.
     pub fn offer(&mut self, request: Request, now: Instant) {
         self.tally.offered += 1;
-        let promised = self.later.came(request.client, now);
+        let coming = self.later.came(request.client, now);
         let heavy = self.heavy.asks(request.client, now);
         let patience = (request.start_target * WAIT_PART).min(request.setup_timeout * TIMEOUT_PART);
-        let promised = promised && heavy.is_none();
+        let promised = coming == Coming::Promised && heavy.is_none();
         let ticket = Ticket { request, since: now, until: now + patience, promised, heavy };
-        if let Err(turned) = self.fair.push(ticket) {
+        if coming == Coming::TooMany {
+            self.tally.too_early += 1;
+            self.send_away(ticket, now);
+        } else if let Err(turned) = self.fair.push(ticket) {
             self.tally.no_place += 1;
             self.send_away(turned, now);
         }
@@ -175,6 +203,7 @@
         {
             let (sess, waited) = (ticket.request.sess, now - ticket.since);
             self.inside.insert(sess, now);
+            self.later.went_in(ticket.request.client, ticket.promised);
             self.tally.let_in += 1;
             self.tally.waited += u64::from(waited > Span::ZERO);
             self.verdicts.push(Verdict::In { sess, waited });
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -22,7 +22,7 @@
 pub mod words;
 
 pub use answers::Tally;
-pub use ashglade_door::Terms as DoorTerms;
+pub use ashglade_door::{Terms as DoorTerms, View as DoorView};
 pub use engine::{Engine, Start};
 pub use words::{Answer, Effect, Input, Load, Want};
 
--- a/crates/lab/tests/days.rs
+++ b/crates/lab/tests/days.rs
@@ -74,6 +74,23 @@
     assert!(said.contains("1 starts, "), "{said}");
 }
 
+#[test]
+fn a_rush_at_the_door_leaves_the_quiet_group_its_service() {
+    let rush = include_str!("../../../days/rush.txtpb")
+        .replace("seconds: 15", "seconds: 6")
+        .replace(SLACK.0, SLACK.1)
+        .replace("group_share: 0.05", "group_share: 0.1")
+        .replace("group_share: 0.95", "group_share: 0.9");
+    let (held, said) = play(&rush);
+    assert!(held, "{said}");
+    let share = |group: &str| -> f64 {
+        let after = said.split(&format!("{group} ")).nth(1).expect("its service");
+        after.split(' ').next().and_then(|n| n.parse().ok()).expect("a figure")
+    };
+    // Agents ask for a seventh of what can be set up; without the door nearly nobody is set up at all.
+    assert!(share("agent-lesson") > 0.6 && share("premium-clip") > 0.2, "{said}");
+}
+
 #[test]
 fn fragile_sessions_through_each_kind_of_trouble() {
     let folder = tempfile::tempdir().unwrap();
--- a/crates/settings/src/headend.rs
+++ b/crates/settings/src/headend.rs
@@ -58,6 +58,8 @@
     /// Set-ups in hand at once: at first, at least, at most.
     pub hands: (f64, f64, f64),
     pub client_query: Option<String>,
+    /// Path of the view, as written.
+    pub view: Option<String>,
 }
 
 #[derive(Clone, Debug)]
@@ -310,6 +312,7 @@
         most_waiting: count("most_waiting", d.most_waiting, 1.0)? as usize,
         hands: (first, least, count("most", d.most, first)?),
         client_query: d.client_query.clone(),
+        view: d.view.clone(),
     })
 }
 
