Door: tenants share within a service group, and their clients within them

Need: shares are wanted by service group, tenant and client, one within the other.

Change: start-time fair queueing again between tenants of a group; tenants and their shares in settings, named by an element of the viewer's URL; whoever names none counts with the others.

Result: with shares 1 and 2 in one of two equal groups, all flooding, 60 go in as 10, 20 and 30; with the other group idle as 20 and 40; alone all 60.

--- a/crates/director/src/serve.rs
+++ b/crates/director/src/serve.rs
@@ -104,6 +104,7 @@
         door: settings.door.as_ref().map(|door| DoorTerms {
             seed: headend.seed,
             groups: door.shares.iter().copied().zip(headend.groups.iter().map(|g| g.utility)).collect(),
+            tenants: door.tenants.iter().map(|&(_, share)| share).collect(),
             target: headend.groups.iter().map(|g| g.start_target).min().unwrap_or(Span::from_secs(1.0)),
             retry_after: headend.retry_after,
             most_waiting: door.most_waiting,
--- a/crates/director/src/viewer.rs
+++ b/crates/director/src/viewer.rs
@@ -231,6 +231,7 @@
             home: title.home,
             copies: title.copies,
             setup_timeout: settings.setup_timeouts[group.0],
+            tenant: self.tenant(&asked),
             client: self.client(&asked),
         };
         let (sender, orders) = mpsc::channel(ORDERS);
@@ -243,9 +244,7 @@
     /// Who asks, as the door tells clients apart: by the query element that settings name, else by address.
     fn client(&self, asked: &Asked) -> u64 {
         let name = self.shared.settings.door.as_ref().and_then(|door| door.client_query.as_deref());
-        let named = name.and_then(|name| {
-            asked.query.split('&').find_map(|pair| pair.strip_prefix(name)?.strip_prefix('='))
-        });
+        let named = name.and_then(|name| asked.element(name));
         let mut hasher = SipHasher13::new();
         match named {
             Some(named) => named.hash(&mut hasher),
@@ -254,6 +253,15 @@
         hasher.finish()
     }
 
+    /// The tenant that a viewer's URL names, by its place in the settings; 0 for others.
+    fn tenant(&self, asked: &Asked) -> usize {
+        let Some(door) = &self.shared.settings.door else { return 0 };
+        let named = door.tenant_query.as_deref().and_then(|name| asked.element(name));
+        named
+            .and_then(|named| door.tenants.iter().skip(1).position(|(name, _)| name == named))
+            .map_or(0, |i| i + 1)
+    }
+
     async fn order(&mut self, order: Order) -> Result<(), Closed> {
         let shared = self.shared.clone();
         let Some(live) = &mut self.live else { return Ok(()) };
--- a/crates/door/src/lib.rs
+++ b/crates/door/src/lib.rs
@@ -30,6 +30,8 @@
     pub seed: u64,
     /// By service group: its weight, and the utility of one session.
     pub groups: Vec<(f64, f64)>,
+    /// Weights of tenants within a group; one at least.
+    pub tenants: Vec<f64>,
     /// The shortest start target.
     pub target: Span,
     /// Longest retry-after that may be told; none is told without.
@@ -45,6 +47,9 @@
 pub struct Request {
     pub sess: Sess,
     pub group: Group,
+    /// By its place among the tenants of the terms.
+    #[serde(default)]
+    pub tenant: usize,
     /// Whoever it comes from: a hash of its address or its name.
     pub client: u64,
     /// When an answer is wanted, and when the viewer gives up.
@@ -121,11 +126,9 @@
 
 impl Door {
     pub fn new(terms: Terms, now: Instant) -> Door {
-        let weights: Vec<f64> = terms.groups.iter().map(|&(weight, _)| weight).collect();
-        let utilities: Vec<f64> = terms.groups.iter().map(|&(_, utility)| utility).collect();
         Door {
             limit: Limit::new(terms.hands, terms.target, now),
-            fair: Fair::new(&weights, &utilities, terms.most_waiting, terms.seed),
+            fair: Fair::new(&terms.groups, &terms.tenants, terms.most_waiting, terms.seed),
             heavy: Heavy::new(terms.seed, now),
             later: Later::new(terms.retry_after, terms.target, terms.seed, now),
             inside: std::collections::BTreeMap::new(),
--- a/crates/door/src/tests.rs
+++ b/crates/door/src/tests.rs
@@ -42,6 +42,7 @@
     Terms {
         seed: 5,
         groups: weights.iter().map(|&w| (w, 1.0)).collect(),
+        tenants: vec![1.0],
         target: Span::from_secs(1.0),
         retry_after: Some(Span::from_secs(8.0)),
         most_waiting: 400,
@@ -94,7 +95,10 @@
             known.insert(sess, (group, client, t, back));
             day.groups[group].asked += usize::from(!back);
             let (start_target, setup_timeout) = (Span::from_secs(1.0), Span::from_secs(3.0));
-            door.offer(Request { sess, group: Group(group), client, start_target, setup_timeout }, now);
+            door.offer(
+                Request { sess, group: Group(group), tenant: 0, client, start_target, setup_timeout },
+                now,
+            );
             if !fair {
                 queue.push_back(sess);
             }
@@ -259,6 +263,7 @@
     let request = |n: u64, group: usize| Request {
         sess: Sess(n),
         group: Group(group),
+        tenant: 0,
         client: n,
         start_target: Span::from_secs(1.0),
         setup_timeout: Span::from_secs(3.0),
@@ -308,7 +313,14 @@
             // Not known again, each retry is taken for somebody new.
             let client = if known_again { client } else { number };
             door.offer(
-                Request { sess: Sess(number), group: Group(0), client, start_target, setup_timeout },
+                Request {
+                    sess: Sess(number),
+                    group: Group(0),
+                    tenant: 0,
+                    client,
+                    start_target,
+                    setup_timeout,
+                },
                 at(t),
             );
         }
@@ -354,3 +366,34 @@
     let text = format!("{} ms; {asked:?} {:?}; {kept:?} {:?}", first.as_ms(), ms(again), ms(next));
     expect!["596.13 ms; TooMany Some(476.904); Promised Some(1133.068)"].assert_eq(&text);
 }
+
+#[test]
+fn tenants_share_within_a_group_and_what_one_leaves_is_the_others() {
+    let run = |asks: [bool; 3]| {
+        let tenants = vec![1.0, 2.0, 1.0];
+        let mut door =
+            Door::new(Terms { tenants, hands: (1.0, 1.0, 1.0), ..terms(&[1.0, 1.0]) }, Instant::from_ms(0.0));
+        let now = Instant::from_ms(1.0);
+        let (start_target, setup_timeout) = (Span::from_secs(1.0), Span::from_secs(3.0));
+        for n in 0..100u64 {
+            for tenant in (0..3).filter(|&t| asks[t]) {
+                let sess = Sess(n * 3 + tenant as u64);
+                let group = Group(usize::from(tenant == 2));
+                door.offer(Request { sess, group, tenant, client: n, start_target, setup_timeout }, now);
+            }
+        }
+        let mut went = [0; 3];
+        for _ in 0..60 {
+            for verdict in door.round(now) {
+                if let Verdict::In { sess, .. } = verdict {
+                    went[sess.0 as usize % 3] += 1;
+                    door.done(sess, Came::Other, now);
+                }
+            }
+        }
+        went
+    };
+    // Tenants 0 and 1 share group 0 by 1 to 2; tenant 2 has group 1 to itself.
+    let told = format!("{:?} {:?} {:?}", run([true; 3]), run([true, true, false]), run([true, false, false]));
+    expect!["[10, 20, 30] [20, 40, 0] [60, 0, 0]"].assert_eq(&told);
+}
--- a/crates/door/tests/worlds.rs
+++ b/crates/door/tests/worlds.rs
@@ -12,6 +12,7 @@
     Terms {
         seed,
         groups: (0..groups).map(|g| (1.0 + g as f64, 1.0)).collect(),
+        tenants: vec![1.0],
         target: Span::from_secs(1.0),
         retry_after: Some(Span::from_secs(6.0)),
         most_waiting: 50,
@@ -25,7 +26,7 @@
 
 fn request(n: u64, group: usize, client: u64) -> Request {
     let (start_target, setup_timeout) = (Span::from_secs(1.0), Span::from_secs(3.0));
-    Request { sess: Sess(n), group: Group(group), client, start_target, setup_timeout }
+    Request { sess: Sess(n), group: Group(group), tenant: 0, client, start_target, setup_timeout }
 }
 
 #[test]
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -296,9 +296,9 @@
         let terms = self.start.headend.groups.get(want.group.0);
         let hand = match (&mut self.door, terms) {
             (Some(door), Some(terms)) => {
-                let (group, client, setup_timeout) = (want.group, want.client, want.setup_timeout);
+                let Want { group, tenant, client, setup_timeout, .. } = want;
                 let start_target = terms.start_target;
-                door.offer(Request { sess, group, client, start_target, setup_timeout }, now);
+                door.offer(Request { sess, group, tenant, client, start_target, setup_timeout }, now);
                 Hand { at_door: Some(want), ..hand }
             }
             _ => {
--- a/crates/engine/src/tests.rs
+++ b/crates/engine/src/tests.rs
@@ -77,6 +77,7 @@
         home: Cell(0),
         copies: 4,
         setup_timeout,
+        tenant: 0,
         client: 1,
     }
 }
@@ -300,6 +301,7 @@
     let terms = DoorTerms {
         seed: 2,
         groups: vec![(1.0, 1.0)],
+        tenants: vec![1.0],
         target: Span::from_secs(1.0),
         retry_after: start.headend.retry_after,
         most_waiting: 12,
--- a/crates/engine/src/words.rs
+++ b/crates/engine/src/words.rs
@@ -18,6 +18,9 @@
     pub copies: u16,
     /// From now, how long until the viewer gives up.
     pub setup_timeout: Span,
+    /// By its place among the tenants of the settings; 0 for the others.
+    #[serde(default)]
+    pub tenant: usize,
     /// Whoever asks: the door is fair between clients.
     pub client: u64,
 }
--- a/crates/lab/src/measure.rs
+++ b/crates/lab/src/measure.rs
@@ -187,6 +187,7 @@
     let terms = Terms {
         seed: 1,
         groups: vec![(1.0, 1.0), (2.0, 2.0)],
+        tenants: vec![1.0],
         target: Span::from_secs(3600.0),
         retry_after: Some(Span::from_secs(8.0)),
         most_waiting: 10_000,
@@ -197,6 +198,7 @@
     let request = |n: u64| Request {
         sess: Sess(n),
         group: Group((n % 2) as usize),
+        tenant: 0,
         client: n,
         start_target,
         setup_timeout,
--- a/crates/rtsp/src/presentation.rs
+++ b/crates/rtsp/src/presentation.rs
@@ -52,6 +52,11 @@
         Some(asked)
     }
 
+    /// The value of an element of the query.
+    pub fn element(&self, name: &str) -> Option<&str> {
+        self.query.split('&').find_map(|pair| pair.strip_prefix(name)?.strip_prefix('='))
+    }
+
     /// The URL by which the viewer knows a track.
     pub fn track_url(&self, track: u8) -> String {
         let query = if self.query.is_empty() { String::new() } else { format!("?{}", self.query) };
--- a/crates/settings/src/headend.rs
+++ b/crates/settings/src/headend.rs
@@ -58,6 +58,9 @@
     /// Set-ups in hand at once: at first, at least, at most.
     pub hands: (f64, f64, f64),
     pub client_query: Option<String>,
+    /// The query element that names a tenant, and names and shares; those of others come first, without a name.
+    pub tenant_query: Option<String>,
+    pub tenants: Vec<(String, f64)>,
     /// Path of the view, as written.
     pub view: Option<String>,
 }
@@ -302,6 +305,13 @@
         let share = Some(group.share.unwrap_or(1.0));
         shares.push(at.within(&format!("group[{i}].share"), share, 1e-3, 1e6)?);
     }
+    let mut tenants = vec![(String::new(), 1.0)];
+    for (i, tenant) in d.tenant.iter().enumerate() {
+        let name = named(at, &format!("door.tenant[{i}].name"), &tenant.name)?;
+        let share = at.within(&format!("door.tenant[{i}].share"), tenant.share, 1e-3, 1e6)?;
+        tenants.push((name, share));
+    }
+    distinct(at, "door.tenant", d.tenant.iter().filter_map(|t| t.name.as_deref()))?;
     let count = |name: &str, value: Option<u32>, from: f64| {
         at.within(&format!("door.{name}"), value.map(f64::from), from, 1e6)
     };
@@ -312,6 +322,8 @@
         most_waiting: count("most_waiting", d.most_waiting, 1.0)? as usize,
         hands: (first, least, count("most", d.most, first)?),
         client_query: d.client_query.clone(),
+        tenant_query: d.tenant_query.clone(),
+        tenants,
         view: d.view.clone(),
     })
 }
