--- a/crates/director/src/core.rs
+++ b/crates/director/src/core.rs
@@ -17,7 +17,7 @@
 
 use crate::owed;
 use crate::probe;
-use crate::serve::Shared;
+use crate::serve::{self, Shared};
 
 /// Inputs that wait for the engine at most; a full channel slows those who read sockets.
 pub const INPUTS: usize = 4096;
@@ -187,8 +187,7 @@
         }
         if let (Some(door), Some(path)) = (self.engine.door(), &self.shared.door_view) {
             let text = serde_json::to_string(&door.view()).unwrap_or_default();
-            let beside = path.with_extension("new");
-            if let Err(error) = std::fs::write(&beside, text).and_then(|()| std::fs::rename(&beside, path)) {
+            if let Err(error) = serve::replace(path, &text) {
                 warn!(path = %path.display(), %error, "the view of the door can't be written");
             }
         }
--- a/crates/director/src/serve.rs
+++ b/crates/director/src/serve.rs
@@ -72,6 +72,18 @@
     pub record: Option<PathBuf>,
 }
 
+/// A file that settings name, from the folder of the settings.
+fn beside(settings: &Path, name: &str) -> PathBuf {
+    settings.parent().unwrap_or(Path::new(".")).join(name)
+}
+
+/// Replaces a file whole: no reader sees half of it.
+pub(crate) fn replace(path: &Path, text: &str) -> std::io::Result<()> {
+    let new = path.with_extension("new");
+    std::fs::write(&new, text)?;
+    std::fs::rename(&new, path)
+}
+
 fn read(path: &Path) -> Result<String, Trouble> {
     std::fs::read_to_string(path).map_err(|source| Trouble::Read { path: path.to_path_buf(), source })
 }
@@ -79,7 +91,7 @@
 /// Reads and checks settings and box list; the path of the latter.
 pub fn load(path: &Path) -> Result<(Settings, List, PathBuf), Trouble> {
     let settings = ashglade_settings::settings(&path.display().to_string(), &read(path)?)?;
-    let boxes = path.parent().unwrap_or(Path::new(".")).join(&settings.box_list);
+    let boxes = beside(path, &settings.box_list);
     let list = ashglade_settings::boxes(&boxes.display().to_string(), &read(&boxes)?, &settings.names)?;
     ashglade_roster::Roster::default()
         .offer(list.clone())
@@ -90,14 +102,14 @@
 /// Where a director with these settings writes what is to be seen of its door.
 pub fn door_view(settings: &Settings, path: &Path) -> Option<PathBuf> {
     let view = settings.door.as_ref()?.view.as_ref()?;
-    Some(path.parent().unwrap_or(Path::new(".")).join(view))
+    Some(beside(path, view))
 }
 
 /// What the engine is started with, from settings.
 pub fn replay_start(settings: &Settings) -> Start {
     let headend = &settings.headend;
     Start {
-        headend: settings.headend.clone(),
+        headend: headend.clone(),
         answer_margin: settings.answer_margin,
         probe_timeout: settings.probe_timeout,
         most_sessions: settings.most_sessions,
@@ -198,17 +210,16 @@
 fn book(settings: &Settings, path: &Path, now: ashglade::time::Instant) -> Result<Book, Trouble> {
     let mut ledger = Ledger::new(Terms::default(), settings.headend.seed);
     let Some(name) = &settings.front.ledger else { return Ok(Book { ledger, file: None }) };
-    let path = path.parent().unwrap_or(Path::new(".")).join(name);
+    let path = beside(path, name);
     let trouble = |source| Trouble::Read { path: path.clone(), source };
     let open = match std::fs::read_to_string(&path) {
         Ok(text) => pages::open(&text).map_err(|source| Trouble::Ledger { path: path.clone(), source })?,
         Err(error) if error.kind() == std::io::ErrorKind::NotFound => Default::default(),
         Err(error) => return Err(trouble(error)),
     };
-    let beside = path.with_extension("new");
     let lines: String =
         open.iter().map(|(&key, held)| pages::write(&pages::Line::Held(key, held.clone()))).collect();
-    std::fs::write(&beside, lines).and_then(|()| std::fs::rename(&beside, &path)).map_err(trouble)?;
+    replace(&path, &lines).map_err(trouble)?;
     let file = std::fs::OpenOptions::new().append(true).open(&path).map_err(trouble)?;
     if !open.is_empty() {
         info!(sessions = open.len(), "tear-downs owed by the director before this one");
--- a/crates/door/src/fair.rs
+++ b/crates/door/src/fair.rs
@@ -1,7 +1,8 @@
 //! Those that wait. Between service groups by start-time fair queueing with weights (Goyal, Vin and Chen): whoever
 //! asks less than its share goes in at once, what one group leaves is the others', and no group's backlog delays
-//! another's. Within a group it is the same again between tenants. Within a tenant, clients are hashed to a few queues that take turns (McKenney's stochastic fairness): one
-//! client's backlog delays those of its queue only, and the hash's seed changes whenever a group's queues are empty.
+//! another's. Within a group it is the same again between tenants. Within a tenant, clients are hashed to a few
+//! queues that take turns (McKenney's stochastic fairness): one client's backlog delays those of its queue only, and
+//! the hash's seed changes whenever a tenant's queues are empty.
 //! A client that is known for heavy goes to the queue of such clients, one of as many as there are queues.
 //!
 //! At equal turns the dearer session goes first. Memory is bounded by the places to wait; when those are all taken,
--- a/crates/door/src/later.rs
+++ b/crates/door/src/later.rs
@@ -3,7 +3,8 @@
 //! told to come back come when there is room, and not all at once.
 //!
 //! What was promised is kept: a client that comes back at its moment goes first in its group. Promises are held in
-//! a table of bounded size, by client; one that comes early loses its own, and heavy clients get none.
+//! a table of bounded size, by client; one that comes early is told the same moment again, and heavy
+//! clients get none.
 //!
 //! A time that can't be told truly because it is over the longest that may be told is told as that longest, spread by
 //! chance over its last half: telling less would bring everyone back too early, at once.
--- a/crates/lab/src/play.rs
+++ b/crates/lab/src/play.rs
@@ -50,7 +50,6 @@
 pub async fn play(day: &Day, out: &Path, record: bool, quiet: bool) -> Result<Played, String> {
     std::fs::create_dir_all(out).map_err(|e| format!("{}: {e}", out.display()))?;
     let headend = day.headend.clone().unwrap_or_default();
-    let plan_of = |settings: &Settings| plan(day, settings);
     // The settings are checked as a director reads them, before anything starts.
     let probe = Directors::prepare(day, out, scratch(out)?)?;
     let path = probe.settings(0).ok_or("a day needs a director")?;
@@ -58,7 +57,7 @@
     let settings =
         ashglade_settings::settings(&path.display().to_string(), &text).map_err(|e| e.to_string())?;
     drop(probe);
-    let plan = plan_of(&settings);
+    let plan = plan(day, &settings);
     let traffic = out.join("traffic.jsonl");
     let log = Log::create(&traffic, &plan).map_err(|e| format!("{}: {e}", traffic.display()))?;
 
