Door: directors that share nodes learn like limits (Jain 0.71 to 0.95 at forty)

Each director learned the unhindered set-up time from set-ups already in the others' way, at moments of its own, and limits drifted apart.

The base is now found anew when no set-up met it for ten start targets, so directors look again together, counting only what went in after the drain; the limit goes up by one a round and down by a part, and doubles only until it first goes down.

Forty flooded directors before the same nodes: Jain 0.71 to 0.95, least 2.6 to 5.5 a second of 10; ten: 0.73 to 0.97. All limits together 70 to 289 where they were 89 to 540.

--- a/crates/door/src/limit.rs
+++ b/crates/door/src/limit.rs
@@ -1,7 +1,8 @@
 //! How many set-ups may be in hand at once is learned. Set-ups that take longer than they did when few were in hand,
 //! or that come back busy, say that there are too many; set-ups that come through quickly while the limit is in use
 //! say that there may be more. Compared in `docs/door.md`: a gradient of set-up times as here, AIMD on busy replies alone,
-//! and a sojourn target; nothing of other directors is known, so steps are small and partly set by what came back.
+//! and a sojourn target. Directors that share nodes know nothing of each other; what makes their limits alike is said
+//! at [`REFRESH`] and where the limit goes up.
 
 use ashglade::time::{Instant, Span};
 
@@ -16,10 +17,15 @@
     /// What a set-up takes when nothing is in its way: the least that any took, found anew now and then by letting
     /// few in for one round. Without that it would be learned from set-ups that already stand in each other's way.
     base: Option<f64>,
+    /// When a set-up last took about the base.
+    base_at: Instant,
     /// The least of this round.
     least_time: f64,
-    rounds: u32,
+    /// It never went down yet, and doubles with each round.
+    eager: bool,
     probes: bool,
+    /// While it is found anew: since when no more are in hand than may be.
+    drained: Option<Instant>,
     /// Of the set-ups since the limit last changed: time in all, how many, how many busy, and when it began.
     time: f64,
     count: f64,
@@ -29,11 +35,17 @@
     rate: Option<f64>,
     /// Times shorter than this are never a reason to go down, in ms.
     harmless: f64,
+    /// The base is found anew when it was not met for so long.
+    refresh: Span,
 }
 
-/// One round in so many lets only a part of the limit in, to find the base anew.
-const PROBE_EVERY: u32 = 30;
+/// When no set-up was about as short as the base for so many start targets, one round lets only a part of the limit in.
+/// Directors before the same nodes meet a shorter set-up at the same time, when one of them does so, and therefore look
+/// again at the same time: then the nodes are as good as idle, and all find the same base (BBR, Cardwell and others, 2016).
+const REFRESH: f64 = 10.0;
 const PROBE_PART: f64 = 0.25;
+/// Set-ups up to so many times the base are met as the base.
+const ABOUT: f64 = 1.1;
 /// So much longer than the base, set-ups are still held for unhindered.
 const SLOWER: f64 = 2.0;
 /// A part of busy replies up to this tells of chance, not of overload.
@@ -53,9 +65,12 @@
             least,
             most,
             base: None,
+            base_at: now,
+            refresh: target * REFRESH,
             least_time: f64::INFINITY,
-            rounds: 0,
+            eager: true,
             probes: true,
+            drained: None,
             time: 0.0,
             count: 0.0,
             busy: 0.0,
@@ -82,6 +97,15 @@
         if how == Came::Other {
             return;
         }
+        if self.probes {
+            // What went in before tells of those that it went in with.
+            if in_hand as f64 <= self.now() {
+                self.drained.get_or_insert(now);
+            }
+            if self.drained.is_none_or(|since| now - took < since) {
+                return;
+            }
+        }
         self.count += 1.0;
         match how {
             Came::Busy => self.busy += 1.0,
@@ -90,7 +114,7 @@
                 self.least_time = self.least_time.min(took.as_ms());
             }
         }
-        if self.count < self.now().min(in_hand as f64).max(8.0) {
+        if self.count < self.now().min(in_hand as f64).max(4.0) {
             return;
         }
         let served = self.count - self.busy;
@@ -101,27 +125,36 @@
             let mean = self.time / served;
             let least = self.least_time;
             let base = self.base.filter(|_| !self.probes).map_or(least, |base| base.min(least));
+            if least <= base * ABOUT {
+                self.base_at = now;
+            }
             self.base = Some(base);
             if mean > (base * SLOWER).max(self.harmless) {
                 step = ((base * SLOWER).max(self.harmless) / mean).max(CUT);
             }
         }
+        if self.probes {
+            self.base_at = now;
+        }
         if busy > FEW_BUSY {
             step = step.min(1.0 - (1.0 - CUT) * (busy - FEW_BUSY) / (1.0 - FEW_BUSY));
         }
         self.now = match step < 1.0 {
             _ if self.probes => self.now,
-            true => self.now * step,
-            // As wide as the root: many steps at a small limit, few at a large one.
-            false if used => self.now + self.now.sqrt(),
+            true => {
+                self.eager = false;
+                self.now * step
+            }
+            // By one a round, at a small limit as at a large one: that, and going down by a part, makes directors
+            // that share nodes alike (Chiu and Jain, 1989).
+            false if used => self.now + if self.eager { self.count } else { self.count / self.now },
             false => self.now,
         }
         .clamp(self.least, self.most);
         if !self.probes {
             self.note_rate(now);
         }
-        self.rounds += 1;
-        self.probes = self.rounds.is_multiple_of(PROBE_EVERY);
+        (self.probes, self.drained) = (now - self.base_at > self.refresh, None);
         self.least_time = f64::INFINITY;
         (self.time, self.count, self.busy, self.since) = (0.0, 0.0, 0.0, now);
     }
--- a/crates/door/tests/worlds.rs
+++ b/crates/door/tests/worlds.rs
@@ -177,9 +177,9 @@
         );
     }
     expect![[r#"
-        ten directors, all flooded: 195 a second of 200, least 5.3, Jain 0.73, limits 36 to 246 in all
-        two, one gets all the flood: 39 a second of 40, least 5.0, Jain 0.64, limits 3 to 16 in all
-        forty, all flooded: 389 a second of 400, least 2.6, Jain 0.71, limits 89 to 540 in all
+        ten directors, all flooded: 197 a second of 200, least 13.3, Jain 0.97, limits 26 to 115 in all
+        two, one gets all the flood: 39 a second of 40, least 5.4, Jain 0.65, limits 5 to 15 in all
+        forty, all flooded: 393 a second of 400, least 5.5, Jain 0.95, limits 70 to 289 in all
     "#]]
     .assert_eq(&told);
 }
