--- a/crates/director/src/viewer.rs
+++ b/crates/director/src/viewer.rs
@@ -296,9 +296,9 @@
                 let response = self.server.granted(name, ssrc);
                 self.reply(response).await
             }
-            Order::Answer(Answer::Busy { retry_after }) => {
-                info!(sess = sess.0, "busy reply");
+            Order::Answer(Answer::Busy { retry_after, why }) => {
                 let after = retry_after.map(|after| after.as_ms() / 1e3);
+                info!(sess = sess.0, title = live.asked.title, ?why, retry_after_s = after, "busy reply");
                 let response = self.server.turned_away(StatusCode::ServiceUnavailable, after);
                 self.turned_away(response).await
             }
--- a/crates/door/src/lib.rs
+++ b/crates/door/src/lib.rs
@@ -73,7 +73,20 @@
     /// It goes to the module now, having waited so long.
     In { sess: Sess, waited: Span },
     /// It is busy-replied now.
-    Away { sess: Sess, retry_after: Option<Span> },
+    Away { sess: Sess, retry_after: Option<Span>, why: Turned },
+}
+
+/// Why a request is sent away.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Turned {
+    /// All places to wait are taken, and its group is the one most over its share.
+    NoPlace,
+    /// Its turn would not come in time.
+    Hopeless,
+    /// Its turn did not come in time.
+    TooLong,
+    /// It came before it was told, and too many do.
+    TooEarly,
 }
 
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -169,11 +182,9 @@
         let promised = coming == Coming::Promised && heavy.is_none();
         let ticket = Ticket { request, since: now, until: now + patience, promised, heavy };
         if coming == Coming::TooMany {
-            self.tally.too_early += 1;
-            self.send_away(ticket, now);
+            self.send_away(ticket, Turned::TooEarly, now);
         } else if let Err(turned) = self.fair.push(ticket) {
-            self.tally.no_place += 1;
-            self.send_away(turned, now);
+            self.send_away(turned, Turned::NoPlace, now);
         }
     }
 
@@ -191,17 +202,22 @@
         }
     }
 
-    fn send_away(&mut self, ticket: Ticket, now: Instant) {
+    fn send_away(&mut self, ticket: Ticket, why: Turned, now: Instant) {
+        *match why {
+            Turned::NoPlace => &mut self.tally.no_place,
+            Turned::Hopeless => &mut self.tally.hopeless,
+            Turned::TooLong => &mut self.tally.too_long,
+            Turned::TooEarly => &mut self.tally.too_early,
+        } += 1;
         let Request { sess, client, .. } = ticket.request;
         let retry_after = self.later.when(client, ticket.heavy.is_some(), now);
-        self.verdicts.push(Verdict::Away { sess, retry_after });
+        self.verdicts.push(Verdict::Away { sess, retry_after, why });
     }
 
     /// What is to be done now. Whoever waits too long is told so at once; then as many go in as there is room for.
     pub fn round(&mut self, now: Instant) -> Vec<Verdict> {
         for ticket in self.fair.overdue(now) {
-            self.tally.too_long += 1;
-            self.send_away(ticket, now);
+            self.send_away(ticket, Turned::TooLong, now);
         }
         let room = |this: &Door| (this.inside.len() as f64) < this.limit.now();
         while room(self)
@@ -220,8 +236,7 @@
         {
             self.looked = now;
             for ticket in self.fair.hopeless(now, rate) {
-                self.tally.hopeless += 1;
-                self.send_away(ticket, now);
+                self.send_away(ticket, Turned::Hopeless, now);
             }
         }
         std::mem::take(&mut self.verdicts)
--- a/crates/door/src/tests.rs
+++ b/crates/door/src/tests.rs
@@ -124,7 +124,7 @@
                     day.groups[group].longest_wait = day.groups[group].longest_wait.max(waited.as_ms());
                     queue.push_back(sess);
                 }
-                Verdict::Away { sess, retry_after } if fair => {
+                Verdict::Away { sess, retry_after, .. } if fair => {
                     let (group, client, _, back) = known[&sess];
                     day.groups[group].away += 1;
                     if let Some(after) = retry_after.filter(|_| !back) {
--- a/crates/door/tests/worlds.rs
+++ b/crates/door/tests/worlds.rs
@@ -75,7 +75,7 @@
                         assert!(waited.as_ms() <= 2500.0, "seed {seed}: {sess:?} waited {waited:?}");
                         (sess, true)
                     }
-                    Verdict::Away { sess, retry_after } => {
+                    Verdict::Away { sess, retry_after, .. } => {
                         assert!(
                             retry_after
                                 .is_some_and(|after| after <= Span::from_secs(6.0) && after > Span::ZERO)
--- a/crates/engine/src/desk.rs
+++ b/crates/engine/src/desk.rs
@@ -7,7 +7,7 @@
 use crate::answers::Hands;
 use crate::setups::{Out, Withdrawn};
 use crate::timers::{Timer, Timers};
-use crate::words::{Answer, Effect};
+use crate::words::{Answer, Effect, Why};
 
 pub(crate) struct Desk<'a> {
     pub now: Instant,
@@ -55,7 +55,7 @@
     }
 
     fn busy(&mut self, sess: Sess, retry_after: Option<Span>) {
-        self.answer(sess, Answer::Busy { retry_after });
+        self.answer(sess, Answer::Busy { retry_after, why: Why::NoRoom });
     }
 
     fn tear_down(&mut self, sess: Sess) {
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -14,7 +14,7 @@
 use crate::notes::Notes;
 use crate::setups::{self, Withdrawn};
 use crate::timers::{Timer, Timers};
-use crate::words::{Answer, Effect, Input, Load, Want};
+use crate::words::{Answer, Effect, Input, Load, Want, Why};
 
 /// What an engine is started with.
 #[derive(Clone, Debug)]
@@ -42,6 +42,7 @@
     notes: Notes,
     probes: BTreeMap<u64, Node>,
     next_probe: u64,
+    door_due: Option<Instant>,
     draining: bool,
     drained: bool,
 }
@@ -74,6 +75,7 @@
             notes: Notes::default(),
             probes: BTreeMap::new(),
             next_probe: 0,
+            door_due: None,
             draining: false,
             drained: false,
         }
@@ -139,8 +141,8 @@
                     let patience = hand.answer_by - self.start.answer_margin * 0.5 - now;
                     news.push(News::Asked(sess, viewing(want, patience)));
                 }
-                Verdict::Away { sess, retry_after } => {
-                    let answer = Answer::Busy { retry_after };
+                Verdict::Away { sess, retry_after, why } => {
+                    let answer = Answer::Busy { retry_after, why: Why::Door(why) };
                     if self.hands.answer(sess, &answer) {
                         effects.push(Effect::Answer { sess, answer });
                     }
@@ -165,7 +167,11 @@
         let (waiting, inside) = door.held();
         if waiting > 0 {
             let at = if (inside as f64) < door.limit() { now } else { door.next_due(now).unwrap_or(now) };
-            self.timers.at(at, Timer::Door);
+            // One look is due at a time: each round would add its own.
+            if self.door_due.is_none_or(|due| at < due) {
+                self.door_due = Some(at);
+                self.timers.at(at, Timer::Door);
+            }
         }
     }
 
@@ -273,10 +279,9 @@
             self.hands.tally.over_bound += u64::from(full);
             self.hands.tally.draining += u64::from(self.draining);
             self.hands.tally.busy += 1;
-            effects.push(Effect::Answer {
-                sess,
-                answer: Answer::Busy { retry_after: self.start.headend.retry_after },
-            });
+            let why = if full { Why::TooManySessions } else { Why::Draining };
+            let retry_after = self.start.headend.retry_after;
+            effects.push(Effect::Answer { sess, answer: Answer::Busy { retry_after, why } });
             return;
         }
         let patience = want.setup_timeout - self.start.answer_margin;
@@ -405,7 +410,7 @@
     fn due(&mut self, now: Instant, timer: Timer, news: &mut Vec<News>, effects: &mut Vec<Effect>) {
         match timer {
             // The door is looked at in every round.
-            Timer::Door => {}
+            Timer::Door => self.door_due = None,
             Timer::Wake(ticket) => news.push(News::Woke(ticket)),
             Timer::Setup(sess, setup) => {
                 let Some(out) = self.out_mut(sess, setup) else { return };
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -22,9 +22,9 @@
 pub mod words;
 
 pub use answers::Tally;
-pub use ashglade_door::{Terms as DoorTerms, View as DoorView};
+pub use ashglade_door::{Terms as DoorTerms, Turned, View as DoorView};
 pub use engine::{Engine, Start};
-pub use words::{Answer, Effect, Input, Load, Want};
+pub use words::{Answer, Effect, Input, Load, Want, Why};
 
 #[cfg(test)]
 mod tests;
--- a/crates/engine/src/tests.rs
+++ b/crates/engine/src/tests.rs
@@ -93,7 +93,7 @@
         Effect::Answer { sess, answer: Answer::Plays { rung } } => {
             format!("{} plays at rung {}", sess.0, rung.0)
         }
-        Effect::Answer { sess, answer: Answer::Busy { retry_after } } => {
+        Effect::Answer { sess, answer: Answer::Busy { retry_after, .. } } => {
             format!("{} busy, again after {:?}", sess.0, retry_after.map(Span::as_ms))
         }
         Effect::Answer { sess, answer: Answer::TornDown } => format!("{} torn down", sess.0),
--- a/crates/engine/src/words.rs
+++ b/crates/engine/src/words.rs
@@ -3,6 +3,7 @@
 use ashglade::ids::{Cell, Group, Node, Rung, Sess, SetupNo, Title};
 use ashglade::interface::Ending;
 use ashglade::time::{Instant, Span};
+use ashglade_door::Turned;
 use ashglade_roster::List;
 use serde::{Deserialize, Serialize};
 
@@ -92,11 +93,30 @@
     Drain,
 }
 
+/// Why a request is busy-replied.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Why {
+    /// The module found no room for it within its attempts and budget.
+    #[default]
+    NoRoom,
+    /// As many sessions are in hand as there may be.
+    TooManySessions,
+    Draining,
+    /// The door did not let it in.
+    Door(Turned),
+}
+
 /// The one answer to a request.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Answer {
-    Plays { rung: Rung },
-    Busy { retry_after: Option<Span> },
+    Plays {
+        rung: Rung,
+    },
+    Busy {
+        retry_after: Option<Span>,
+        #[serde(default)]
+        why: Why,
+    },
     TornDown,
 }
 
--- a/crates/lab/src/day.rs
+++ b/crates/lab/src/day.rs
@@ -24,7 +24,8 @@
     let (mut day, at) = text::read::<Day>(SCHEMA, "ashglade.day.Day", file, text)?;
     at.need("seed", day.seed)?;
     at.within("seconds", day.seconds, 1.0, 3600.0)?;
-    let directors = at.within("directors", day.directors.map(f64::from), 1.0, 32.0)?;
+    let directors = at.within("directors", day.directors.map(f64::from), 1.0, 1000.0)?;
+    day.network_ms = Some(at.within("network_ms", Some(day.network_ms.unwrap_or(0.3)), 0.0, 1000.0)?);
     at.within("drain_grace_ms", day.drain_grace_ms, 0.0, 60_000.0)?;
     day.slack_ms = Some(at.within("slack_ms", Some(day.slack_ms.unwrap_or(60.0)), 0.0, 10_000.0)?);
     let headend = at.need("headend", day.headend.as_ref())?;
@@ -38,16 +39,11 @@
         at.within(&field("weight"), nodes.weight, 1e-3, 1e6)?;
         at.one_of(&field("model"), nodes.model.as_deref().unwrap_or_default(), &models)?;
     }
-    let viewers = at.need("viewers", day.viewers.as_ref())?;
-    at.within("viewers.rate", viewers.rate, 0.01, 1e4)?;
-    let from = at.within("viewers.watch_from_s", viewers.watch_from_s, 0.1, 3600.0)?;
-    at.within("viewers.watch_to_s", viewers.watch_to_s, from, 3600.0)?;
-    for (name, part) in [("impatient", viewers.impatient), ("small_screens", viewers.small_screens)] {
-        at.within(&format!("viewers.{name}"), Some(part.unwrap_or(0.0)), 0.0, 1.0)?;
+    if day.viewers.is_empty() {
+        return Err(at.trouble("viewers", "is left out; one crowd at least is wanted"));
     }
-    at.within("viewers.rejoin_ms", viewers.rejoin_ms, 1.0, 60_000.0)?;
-    if !viewers.group_share.is_empty() && viewers.group_share.len() != headend.group.len() {
-        return Err(at.trouble("viewers.group_share", "must have as many shares as there are service groups"));
+    for (i, viewers) in day.viewers.iter().enumerate() {
+        check_viewers(&at, &format!("viewers[{i}]"), viewers, (headend.group.len(), directors))?;
     }
     let lists = at.need("lists", day.lists.as_ref())?;
     at.within("lists.notice_ms", lists.notice_ms, 0.0, 60_000.0)?;
@@ -60,6 +56,42 @@
     Ok(day)
 }
 
+fn check_viewers(
+    at: &Source,
+    field: &str,
+    viewers: &schema::Viewers,
+    (groups, directors): (usize, f64),
+) -> Result<(), Trouble> {
+    let field = |name: &str| format!("{field}.{name}");
+    at.within(&field("rate"), viewers.rate, 0.01, 1e5)?;
+    let from = at.within(&field("watch_from_s"), viewers.watch_from_s, 0.1, 3600.0)?;
+    at.within(&field("watch_to_s"), viewers.watch_to_s, from, 3600.0)?;
+    for (name, part) in [("impatient", viewers.impatient), ("small_screens", viewers.small_screens)] {
+        at.within(&field(name), Some(part.unwrap_or(0.0)), 0.0, 1.0)?;
+    }
+    at.within(&field("rejoin_ms"), viewers.rejoin_ms, 1.0, 60_000.0)?;
+    at.within(&field("from_s"), Some(viewers.from_s.unwrap_or(0.0)), 0.0, 3600.0)?;
+    at.within(&field("to_s"), Some(viewers.to_s.unwrap_or(3600.0)), viewers.from_s.unwrap_or(0.0), 3600.0)?;
+    for (name, shares, of) in [
+        ("group_share", &viewers.group_share, groups),
+        ("director_share", &viewers.director_share, directors as usize),
+    ] {
+        if shares.is_empty() {
+            continue;
+        }
+        if shares.len() != of {
+            return Err(at.trouble(&field(name), format!("has {} shares; {of} are wanted", shares.len())));
+        }
+        for (k, &share) in shares.iter().enumerate() {
+            at.within(&format!("{}[{k}]", field(name)), Some(share), 0.0, 1e6)?;
+        }
+        if shares.iter().sum::<f64>() <= 0.0 {
+            return Err(at.trouble(&field(name), "leaves nobody"));
+        }
+    }
+    Ok(())
+}
+
 fn check(at: &Source, i: usize, trouble: &schema::Trouble, of: (f64, f64, f64)) -> Result<(), Trouble> {
     let field = |name: &str| format!("trouble[{i}].{name}");
     at.within(&field("at_s"), trouble.at_s, 0.0, 3600.0)?;
--- a/crates/lab/src/directors.rs
+++ b/crates/lab/src/directors.rs
@@ -44,17 +44,7 @@
             let address = port.local_addr().map_err(|e| e.to_string())?;
             let folder = out.join(format!("director-{number}"));
             std::fs::create_dir_all(&folder).map_err(|e| format!("{}: {e}", folder.display()))?;
-            let mut headend = day.headend.clone().unwrap_or_default();
-            let zone = headend.zone.get(usize::from(number) % headend.zone.len().max(1)).cloned();
-            headend.director = Some(schema::Director {
-                number: Some(number.into()),
-                directors: Some(count.into()),
-                zone,
-                seed: Some(day.seed.unwrap_or(0) + u64::from(number)),
-            });
-            headend.front.get_or_insert_default().listen = Some(address.to_string());
-            headend.box_list = Some("boxes.txtpb".into());
-            let text = write(&headend)?;
+            let text = headend(day, number, &address.to_string())?;
             let path = folder.join("headend.txtpb");
             std::fs::write(&path, text).map_err(|e| format!("{}: {e}", path.display()))?;
             all.push((number, address, folder));
@@ -145,6 +135,21 @@
     }
 }
 
+/// The settings of one of the day's directors, as text.
+pub fn headend(day: &Day, number: u16, listen: &str) -> Result<String, String> {
+    let mut headend = day.headend.clone().unwrap_or_default();
+    let zone = headend.zone.get(usize::from(number) % headend.zone.len().max(1)).cloned();
+    headend.director = Some(schema::Director {
+        number: Some(number.into()),
+        directors: Some(day.directors.unwrap_or(1)),
+        zone,
+        seed: Some(day.seed.unwrap_or(0) + u64::from(number)),
+    });
+    headend.front.get_or_insert_default().listen = Some(listen.into());
+    headend.box_list = Some("boxes.txtpb".into());
+    write(&headend)
+}
+
 fn write(headend: &schema::Headend) -> Result<String, String> {
     let pool = DescriptorPool::decode(SCHEMA).map_err(|e| e.to_string())?;
     let kind = pool.get_message_by_name("ashglade.headend.Headend").ok_or("no schema of the headend")?;
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -3,11 +3,13 @@
 mod bench;
 mod day;
 mod directors;
+mod emulator;
 mod lists;
 mod matrix;
 mod measure;
 mod play;
 mod trouble;
+mod visits;
 
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -37,6 +39,21 @@
         #[arg(long)]
         quiet: bool,
     },
+    /// Plays a day in simulated time, on the same engine; exits 0 only if no rule was seen to break.
+    Emulate {
+        file: PathBuf,
+        /// Leaves the fair door out.
+        #[arg(long)]
+        no_door: bool,
+        /// As many directors as this, in place of the day's.
+        #[arg(long)]
+        directors: Option<u32>,
+        #[arg(long)]
+        seed: Option<u64>,
+        /// Writes the whole report, second by second, as JSON.
+        #[arg(long)]
+        json: Option<PathBuf>,
+    },
     /// Judges recorded traffic again.
     Judge { traffic: PathBuf },
     /// Writes a day file, scaled to one machine, with the troubles of a day that the bench drew.
@@ -70,6 +87,9 @@
 fn main() -> ExitCode {
     let done = match Args::parse().command {
         Command::Day { file, out, record, quiet } => run(play_day(file, out, record, quiet)),
+        Command::Emulate { file, no_door, directors, seed, json } => {
+            emulate(&file, no_door, directors, seed, json.as_deref())
+        }
         Command::Judge { traffic } => judge(&traffic),
         Command::FromBench { day } => bench::convert(&day).map(|text| {
             print!("{text}");
@@ -131,6 +151,33 @@
     Ok(played.verdict.held() && played.orphans == 0 && played.ended_well && continuous)
 }
 
+fn emulate(
+    file: &std::path::Path,
+    no_door: bool,
+    directors: Option<u32>,
+    seed: Option<u64>,
+    json: Option<&std::path::Path>,
+) -> Result<bool, String> {
+    let mut day = day::read(file)?;
+    day.directors = directors.or(day.directors);
+    day.seed = seed.or(day.seed);
+    let begun = std::time::Instant::now();
+    let report = emulator::run(&day, !no_door)?;
+    let took = begun.elapsed().as_secs_f64();
+    print!("{report}");
+    println!(
+        "{} s in {took:.2} s; {:.0} events a second, {:.0} rounds a second",
+        report.samples.len(),
+        report.events as f64 / took,
+        report.rounds as f64 / took
+    );
+    if let Some(path) = json {
+        let text = serde_json::to_string(&report).map_err(|e| e.to_string())?;
+        std::fs::write(path, text).map_err(|e| format!("{}: {e}", path.display()))?;
+    }
+    Ok(report.broken_rules.is_empty())
+}
+
 async fn play_matrix(out: PathBuf, short: bool) -> Result<bool, String> {
     let (cares, stages) = if short {
         (&matrix::CARES[2..], &matrix::STAGES[..1])
--- a/crates/lab/src/play.rs
+++ b/crates/lab/src/play.rs
@@ -16,10 +16,11 @@
 use tokio::task::JoinSet;
 use tokio::time::Instant;
 
-use crate::day::{Day, Kind};
+use crate::day::Day;
 use crate::directors::Directors;
 use crate::lists::Lists;
 use crate::trouble;
+use crate::visits::{self, Visit};
 
 /// What came of a day.
 pub struct Played {
@@ -47,7 +48,13 @@
     pub silent_notice: Duration,
 }
 
+/// Processes beside each other on one machine.
+const MOST_DIRECTORS: u32 = 32;
+
 pub async fn play(day: &Day, out: &Path, record: bool, quiet: bool) -> Result<Played, String> {
+    if day.directors.is_some_and(|n| n > MOST_DIRECTORS) {
+        return Err(format!("a day on sockets has at most {MOST_DIRECTORS} directors; `emulate` takes more"));
+    }
     std::fs::create_dir_all(out).map_err(|e| format!("{}: {e}", out.display()))?;
     let headend = day.headend.clone().unwrap_or_default();
     // The settings are checked as a director reads them, before anything starts.
@@ -290,77 +297,31 @@
     }
 }
 
-/// All viewers of the day with the time at which each comes, drawn from the seed alone.
+/// The day's viewers as scripts for sockets.
 fn scripts(
     day: &Day,
     settings: &Settings,
     headend: &ashglade_settings::schema::headend::Headend,
     directors: &[(u16, SocketAddr, std::path::PathBuf)],
 ) -> Vec<(Duration, Script)> {
-    let viewers = day.viewers.clone().unwrap_or_default();
-    let mut random = oorandom::Rand64::new(day.seed.unwrap_or(0).into());
-    let titles: Vec<String> = headend.title.iter().filter_map(|t| t.name.clone()).collect();
-    let wanted: Vec<f64> =
-        (1..=titles.len()).map(|k| (k as f64).powf(-viewers.title_zipf.unwrap_or(0.0))).collect();
-    let shares = match viewers.group_share.is_empty() {
-        true => vec![1.0; settings.group_names.len()],
-        false => viewers.group_share.clone(),
+    let titles: Vec<&String> = headend.title.iter().filter_map(|t| t.name.as_ref()).collect();
+    let script = |(id, visit): (u64, Visit)| {
+        let title = titles.get(visit.title).map_or_else(String::new, |title| title.to_string());
+        let addresses = visit.directors.iter().filter_map(|&d| directors.get(usize::from(d)));
+        let script = Script {
+            id,
+            directors: addresses.map(|&(n, address, _)| (n, address)).collect(),
+            group: settings.group_names[visit.group].clone(),
+            tracks: settings.titles.get(&title).map_or(1, |t| t.tracks),
+            title,
+            top: visit.top,
+            setup_timeout: Duration::from_secs_f64(settings.setup_timeouts[visit.group].as_ms() / 1e3),
+            watch: Duration::from_secs_f64(visit.watch),
+            leaves_after: visit.leaves_after.map(Duration::from_secs_f64),
+            returns: visit.returns,
+            rejoin: Duration::from_secs_f64(visit.rejoin),
+        };
+        (Duration::from_secs_f64(visit.at), script)
     };
-    let bursts: Vec<(f64, f64, f64)> = day
-        .trouble
-        .iter()
-        .filter(|t| t.kind() == Kind::Burst)
-        .map(|t| {
-            (t.at_s.unwrap_or(0.0), t.at_s.unwrap_or(0.0) + t.for_s.unwrap_or(0.0), t.size.unwrap_or(1.0))
-        })
-        .collect();
-    let top = settings.top_rung();
-    let mut scripts = Vec::new();
-    let mut at = 0.0;
-    loop {
-        let factor: f64 = bursts.iter().filter(|(a, b, _)| *a <= at && at < *b).map(|b| b.2).product();
-        at += -(1.0 - random.rand_float()).ln() / (viewers.rate.unwrap_or(1.0) * factor);
-        if at >= day.seconds.unwrap_or(0.0) {
-            return scripts;
-        }
-        let group = pick(&mut random, &shares);
-        let title = pick(&mut random, &wanted);
-        let timeout = Duration::from_secs_f64(settings.setup_timeouts[group].as_ms() / 1e3);
-        let (from, to) = (viewers.watch_from_s.unwrap_or(1.0), viewers.watch_to_s.unwrap_or(1.0));
-        let watch = Duration::from_secs_f64(from + (to - from) * random.rand_float());
-        let small = random.rand_float() < viewers.small_screens.unwrap_or(0.0);
-        let leaves = random.rand_float() < viewers.impatient.unwrap_or(0.0);
-        let leaves_after = timeout.mul_f64(0.1 * random.rand_float());
-        let first = random.rand_range(0..directors.len().max(1) as u64) as usize;
-        let mut mine: Vec<(u16, SocketAddr)> = directors.iter().map(|&(n, a, _)| (n, a)).collect();
-        mine.rotate_left(first);
-        let rejoin = viewers.rejoin_ms.unwrap_or(1000.0) * (0.5 + 0.5 * random.rand_float());
-        scripts.push((
-            Duration::from_secs_f64(at),
-            Script {
-                id: scripts.len() as u64,
-                directors: mine,
-                group: settings.group_names[group].clone(),
-                tracks: settings.titles.get(&titles[title]).map_or(1, |t| t.tracks),
-                title: titles[title].clone(),
-                top: if small { top / 2 } else { top },
-                setup_timeout: timeout,
-                watch,
-                leaves_after: leaves.then_some(leaves_after),
-                returns: viewers.returns.unwrap_or(0),
-                rejoin: Duration::from_secs_f64(rejoin / 1e3),
-            },
-        ));
-    }
-}
-
-fn pick(random: &mut oorandom::Rand64, weights: &[f64]) -> usize {
-    let mut left = random.rand_float() * weights.iter().sum::<f64>();
-    for (i, weight) in weights.iter().enumerate() {
-        left -= weight;
-        if left < 0.0 {
-            return i;
-        }
-    }
-    weights.len().saturating_sub(1)
+    (0..).zip(visits::draw(day, settings)).map(script).collect()
 }
--- a/crates/standin/src/viewer.rs
+++ b/crates/standin/src/viewer.rs
@@ -57,8 +57,9 @@
 
 pub async fn run(script: Script, log: Log, media: Arc<Media>) {
     let mut left = script.watch;
+    let mut turned_to = 0;
     for again in 0..=script.returns {
-        let Some(&(director, address)) = script.directors.get(again as usize % script.directors.len().max(1))
+        let Some(&(director, address)) = script.directors.get(turned_to % script.directors.len().max(1))
         else {
             return;
         };
@@ -69,6 +70,8 @@
             End::Watched | End::Left => return,
             End::Busy(after) => tokio::time::sleep(after.unwrap_or(script.rejoin)).await,
             End::Broken => {
+                // Whoever was told when to come back comes to the director that told it.
+                turned_to += 1;
                 media.breaks.fetch_add(1, Ordering::Relaxed);
                 tokio::time::sleep(script.rejoin).await;
             }
