--- a/crates/door/src/lib.rs
+++ b/crates/door/src/lib.rs
@@ -132,6 +132,8 @@
     inside: std::collections::BTreeMap<Sess, Instant>,
     /// When it was last looked whose turn can't come in time.
     looked: Instant,
+    /// Nothing more goes in just now, whatever the limit.
+    held: bool,
     /// What is to be done since the last round.
     verdicts: Vec<Verdict>,
     pub tally: Tally,
@@ -146,6 +148,7 @@
             later: Later::new(terms.retry_after, terms.target, terms.seed, now),
             inside: std::collections::BTreeMap::new(),
             looked: now,
+            held: false,
             verdicts: Vec::new(),
             tally: Tally::default(),
             terms,
@@ -168,6 +171,11 @@
         }
     }
 
+    /// Nothing more goes in just now, though the limit is not reached: what is in hand takes too long.
+    pub fn holds(&self) -> bool {
+        self.held
+    }
+
     /// How many may be in hand at once just now.
     pub fn limit(&self) -> f64 {
         self.limit.now()
@@ -219,7 +227,8 @@
         for ticket in self.fair.overdue(now) {
             self.send_away(ticket, Turned::TooLong, now);
         }
-        let room = |this: &Door| (this.inside.len() as f64) < this.limit.now();
+        self.held = self.limit.held(self.inside.values().map(|&since| now - since));
+        let room = |this: &Door| !this.held && (this.inside.len() as f64) < this.limit.now();
         while room(self)
             && let Some(ticket) = self.fair.pop()
         {
@@ -242,9 +251,11 @@
         std::mem::take(&mut self.verdicts)
     }
 
-    /// When the next round is due if nothing comes before.
+    /// When the next round is due if nothing comes before: at once if some of those that wait may go in.
     pub fn next_due(&self, now: Instant) -> Option<Instant> {
-        (!self.fair.is_empty()).then(|| now + self.terms.target * (1.0 / LOOKS))
+        let room = !self.held && (self.inside.len() as f64) < self.limit.now();
+        let after = if room { Span::ZERO } else { self.terms.target * (1.0 / LOOKS) };
+        (!self.fair.is_empty()).then(|| now + after)
     }
 }
 
--- a/crates/door/src/limit.rs
+++ b/crates/door/src/limit.rs
@@ -54,6 +54,10 @@
 const CUT: f64 = 0.7;
 /// Parts of the start target: set-ups this short are never too slow.
 const HARMLESS: f64 = 0.1;
+/// A round has so many set-ups at least: fewer tell of chance.
+const MIN: f64 = 4.0;
+/// Set-ups more in a round in which there were not too many.
+const UP: f64 = 0.25;
 /// Weight of the last round in the rate.
 const FRESH: f64 = 0.3;
 
@@ -92,6 +96,14 @@
         Some(rate.min((self.count + 1.0) / quiet.max(1e-3)).max(1e-3)).filter(|_| quiet > 0.0).or(Some(rate))
     }
 
+    /// Nothing more goes in while most of what is in hand has already taken longer than it should: a limit that is
+    /// far too high shows so before anything comes out. A few that hang hold nobody up.
+    pub fn held(&self, ages: impl ExactSizeIterator<Item = Span>) -> bool {
+        let Some(base) = self.base else { return false };
+        let (all, slow) = (ages.len(), (base * SLOWER).max(self.harmless));
+        all as f64 > self.least && ages.filter(|age| age.as_ms() > slow).count() * 2 > all
+    }
+
     /// A set-up came out after `took`, with so many in hand, itself included.
     pub fn came(&mut self, took: Span, how: Came, in_hand: usize, now: Instant) {
         if how == Came::Other {
@@ -114,7 +126,7 @@
                 self.least_time = self.least_time.min(took.as_ms());
             }
         }
-        if self.count < self.now().min(in_hand as f64).max(4.0) {
+        if self.count < self.now().min(in_hand as f64).max(MIN) {
             return;
         }
         let served = self.count - self.busy;
@@ -147,7 +159,7 @@
             }
             // By one a round, at a small limit as at a large one: that, and going down by a part, makes directors
             // that share nodes alike (Chiu and Jain, 1989).
-            false if used => self.now + if self.eager { self.count } else { self.count / self.now },
+            false if used => self.now + if self.eager { self.count } else { self.count / self.now * UP },
             false => self.now,
         }
         .clamp(self.least, self.most);
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -164,9 +164,7 @@
                 door.done(*sess, how, now);
             }
         }
-        let (waiting, inside) = door.held();
-        if waiting > 0 {
-            let at = if (inside as f64) < door.limit() { now } else { door.next_due(now).unwrap_or(now) };
+        if let Some(at) = door.next_due(now) {
             // One look is due at a time: each round would add its own.
             if self.door_due.is_none_or(|due| at < due) {
                 self.door_due = Some(at);
--- a/crates/lab/src/emulator/mod.rs
+++ b/crates/lab/src/emulator/mod.rs
@@ -8,5 +8,5 @@
 mod troubles;
 mod world;
 
-pub use report::Group;
+pub use report::{Group, Report, Sample};
 pub use world::run;
--- a/crates/lab/src/emulator/report.rs
+++ b/crates/lab/src/emulator/report.rs
@@ -107,6 +107,8 @@
             "service {:.3}; {} SETUPs, {} nodes pushed over; returning a second: mean {:.1}, most {}",
             self.service, self.setups, self.fallen, self.mean_returned, self.peak_returned
         )?;
+        let (made, came, went_in) = self.promised;
+        writeln!(f, "room promised {made} times, {came} came at their moment, {went_in} of them went in")?;
         writeln!(
             f,
             "directors {}: in time {least} to {most}, Jain {:.3}",
--- /dev/null
+++ b/crates/lab/src/plot.rs
@@ -0,0 +1,71 @@
+//! Plots of emulated days as SVG.
+
+use std::path::Path;
+
+use plotters::prelude::*;
+
+use crate::emulator::Report;
+
+const WIDTH: u32 = 900;
+const ROW: u32 = 300;
+
+/// First requests, and those answered with a session in time, each second and by service group; a row for each arm.
+/// Lines are told apart by their dashes as well as by their colours.
+pub fn requests(path: &Path, title: &str, arms: &[(&str, &Report)]) -> Result<(), String> {
+    let say = |e: &dyn std::fmt::Display| format!("{}: {e}", path.display());
+    let root = SVGBackend::new(path, (WIDTH, ROW * arms.len() as u32)).into_drawing_area();
+    root.fill(&WHITE).map_err(|e| say(&e))?;
+    let seconds = arms.iter().map(|(_, report)| day_length(report)).max().unwrap_or(1);
+    for ((name, report), area) in arms.iter().zip(root.split_evenly((arms.len(), 1))) {
+        let samples = &report.samples[..report.samples.len().min(seconds)];
+        let most = samples.iter().flat_map(|s| &s.asked).copied().max().unwrap_or(1).max(1) as f64;
+        let mut chart = ChartBuilder::on(&area)
+            .caption(format!("{title}: {name}"), ("sans-serif", 16))
+            .margin(8)
+            .x_label_area_size(34)
+            .y_label_area_size(56)
+            .build_cartesian_2d(0.0..seconds as f64, (1.0..most * 1.5).log_scale())
+            .map_err(|e| say(&e))?;
+        chart
+            .configure_mesh()
+            .x_desc("seconds")
+            .y_desc("a second (log)")
+            .light_line_style(WHITE)
+            .draw()
+            .map_err(|e| say(&e))?;
+        let asked_at_all = report.groups.iter().enumerate().filter(|(_, group)| group.viewers > 0);
+        for (k, (g, group)) in asked_at_all.enumerate() {
+            let color = Palette99::pick(k).to_rgba();
+            let points = |pick: &dyn Fn(&crate::emulator::Sample) -> u64| -> Vec<(f64, f64)> {
+                samples.iter().map(|s| (s.second as f64 + 0.5, (pick(s) as f64).max(1.0))).collect()
+            };
+            let asked = points(&|s| s.asked[g]);
+            chart
+                .draw_series(DashedLineSeries::new(asked, 2, 3 + 4 * k as u32, color.stroke_width(1)))
+                .map_err(|e| say(&e))?
+                .label(format!("{}: asked (dashed)", group.name))
+                .legend(move |(x, y)| PathElement::new([(x, y), (x + 18, y)], color.stroke_width(1)));
+            let in_time = points(&|s| s.in_time[g]);
+            let width = 2 + 2 * k as u32;
+            chart
+                .draw_series(LineSeries::new(in_time, color.stroke_width(width)))
+                .map_err(|e| say(&e))?
+                .label(format!("{}: in time", group.name))
+                .legend(move |(x, y)| PathElement::new([(x, y), (x + 18, y)], color.stroke_width(width)));
+        }
+        chart
+            .configure_series_labels()
+            .position(SeriesLabelPosition::UpperRight)
+            .background_style(WHITE.mix(0.8))
+            .border_style(BLACK.mix(0.3))
+            .draw()
+            .map_err(|e| say(&e))?;
+    }
+    root.present().map_err(|e| say(&e))
+}
+
+/// The last second in which anybody asked for the first time.
+fn day_length(report: &Report) -> usize {
+    let asked = |s: &crate::emulator::Sample| s.asked.iter().any(|&n| n > 0);
+    report.samples.iter().rposition(asked).map_or(1, |i| i + 1)
+}
--- a/crates/settings/src/tests.rs
+++ b/crates/settings/src/tests.rs
@@ -99,6 +99,25 @@
     "#]].assert_eq(&told);
 }
 
+#[test]
+fn a_share_of_nothing_is_no_share() {
+    let door = "door { most_waiting: 50 first: 8 least: 2 most: 100 tenant_query: \"t\" tenant { name: \"x\" share: 2 } }\n";
+    let good = GOOD.replace("front {", &format!("{door}front {{"));
+    assert_eq!(settings("h.txtpb", &good).unwrap().door.unwrap().tenants.len(), 2);
+    let mut told = String::new();
+    for (from, to) in
+        [("utility: 2 ", "utility: 2 share: 0 "), ("share: 2", "share: 0"), ("least: 2", "least: 9")]
+    {
+        told += &settings("h.txtpb", &good.replacen(from, to, 1))
+            .map_or_else(|e| format!("{e}\n"), |_| "taken\n".into());
+    }
+    expect![[r#"
+        h.txtpb:8: group[0].share: is 0; 0.001 to 1000000 is wanted
+        h.txtpb:16: door.tenant[0].share: is 0; 0.001 to 1000000 is wanted
+        h.txtpb:16: door.first: is 8; 9 to 1000000 is wanted
+    "#]].assert_eq(&told);
+}
+
 #[test]
 fn a_box_list_reads_back_as_written_and_errors_name_the_field() {
     let names = settings("h.txtpb", GOOD).unwrap().names;
