--- a/crates/lab/src/play.rs
+++ b/crates/lab/src/play.rs
@@ -250,7 +250,7 @@
             let zone = Zone((i % settings.names.zones.len()) as u8);
             let place = Place { zone, model: Model(model as u8), cell: Cell(cell), weight, started: None };
             let address: SocketAddr = ([127, 0, 0, 1], 0).into();
-            entries.push(Entry { name, address, place, standing: Standing::Ready });
+            entries.push(Entry { name, address, http: None, place, standing: Standing::Ready });
         }
     }
     (specs, entries)
--- a/crates/roster/src/lib.rs
+++ b/crates/roster/src/lib.rs
@@ -23,6 +23,9 @@
 pub struct Entry {
     pub name: String,
     pub address: SocketAddr,
+    /// Where it serves HLS, if it does.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub http: Option<SocketAddr>,
     pub place: Place,
     pub standing: Standing,
 }
--- a/crates/settings/src/boxes.rs
+++ b/crates/settings/src/boxes.rs
@@ -15,6 +15,8 @@
     pub zones: Vec<String>,
     pub models: Vec<String>,
     pub cells: u16,
+    /// Every box must tell where it serves HLS.
+    pub http: bool,
 }
 
 /// Reads and checks a box list.
@@ -43,7 +45,16 @@
             schema::Standing::Draining => Standing::Draining,
             schema::Standing::Gone => Standing::Gone,
         };
-        entries.push(Entry { name: named(&at, &field("name"), &node.name)?, address, place, standing });
+        let http = match &node.http {
+            Some(http) => Some(http.parse().map_err(|_| {
+                at.trouble(&field("http"), format!("{http:?} is no address and port, as 127.0.0.1:8080"))
+            })?),
+            None if names.http => {
+                return Err(at.trouble(&field("http"), "is left out, and the settings have `hls`"));
+            }
+            None => None,
+        };
+        entries.push(Entry { name: named(&at, &field("name"), &node.name)?, address, http, place, standing });
     }
     Ok(List { generation, entries })
 }
@@ -55,6 +66,7 @@
     for entry in &list.entries {
         let place = &entry.place;
         let started = place.started.map_or(0.0, Instant::as_ms);
+        let http = entry.http.map_or_else(String::new, |http| format!(" http: \"{http}\""));
         let standing = match entry.standing {
             Standing::Ready => "READY",
             Standing::Draining => "DRAINING",
@@ -62,7 +74,7 @@
         };
         text += &format!(
             "box {{ name: {:?} address: \"{}\" zone: {:?} model: {:?} cell: {} weight: {} started_ms: {started:.0} \
-             standing: {standing} }}\n",
+             standing: {standing}{http} }}\n",
             entry.name,
             entry.address,
             name(&names.zones, place.zone.0),
--- a/crates/settings/src/headend.rs
+++ b/crates/settings/src/headend.rs
@@ -49,6 +49,23 @@
     pub ledger: Option<String>,
 }
 
+/// The second front.
+#[derive(Clone)]
+pub struct Hls {
+    pub listen: SocketAddr,
+    pub most_connections: usize,
+    /// Id and secret; the first signs.
+    pub keys: Vec<(u8, String)>,
+    pub token_life: Duration,
+}
+
+impl std::fmt::Debug for Hls {
+    /// Secrets are in no log.
+    fn fmt(&self, f: &mut std::fmt::Formatter) -> std::fmt::Result {
+        write!(f, "Hls({}, {} keys)", self.listen, self.keys.len())
+    }
+}
+
 /// The fair door.
 #[derive(Clone, Debug)]
 pub struct Door {
@@ -77,6 +94,7 @@
     pub most_sessions: usize,
     pub front: Front,
     pub door: Option<Door>,
+    pub hls: Option<Hls>,
     /// Path of the box list, as written.
     pub box_list: String,
 }
@@ -243,9 +261,13 @@
         Some(door) => Some(self::door(&at, door, &read.group)?),
         None => None,
     };
+    let hls = match &read.hls {
+        Some(hls) => Some(self::hls(&at, hls)?),
+        None => None,
+    };
     let most = limits.most_sessions.map(f64::from);
     Ok(Settings {
-        names: Names { zones, models, cells: cells as u16 },
+        names: Names { zones, models, cells: cells as u16, http: hls.is_some() },
         group_names,
         setup_timeouts,
         titles,
@@ -254,6 +276,7 @@
         most_sessions: at.within("limits.most_sessions", most, 1.0, 1e7)? as usize,
         front,
         door,
+        hls,
         box_list: named(&at, "box_list", &read.box_list)?,
         headend,
     })
@@ -299,6 +322,38 @@
     Ok((group, Span::from_ms(timeout)))
 }
 
+fn hls(at: &Source, h: &schema::Hls) -> Result<Hls, Trouble> {
+    let listen = named(at, "hls.listen", &h.listen)?;
+    let listen = listen.parse().map_err(|_| {
+        at.trouble("hls.listen", format!("{listen:?} is no address and port, as 127.0.0.1:8080"))
+    })?;
+    let mut keys: Vec<(u8, String)> = Vec::new();
+    some(at, "hls.key", h.key.len(), 8.0)?;
+    for (i, key) in h.key.iter().enumerate() {
+        let field = format!("hls.key[{i}].id");
+        let id = at.within(&field, key.id.map(f64::from), 0.0, 255.0)? as u8;
+        if keys.iter().any(|(other, _)| *other == id) {
+            return Err(at.trouble(&field, format!("{id} is there twice")));
+        }
+        let field = format!("hls.key[{i}].secret");
+        let secret = named(at, &field, &key.secret)?;
+        if secret.len() < 16 {
+            return Err(
+                at.trouble(&field, format!("has {} characters; 16 at least are wanted", secret.len()))
+            );
+        }
+        keys.push((id, secret));
+    }
+    let life = at.within("hls.token_life_s", h.token_life_s.map(f64::from), 1.0, DAY / 1e3)?;
+    Ok(Hls {
+        listen,
+        most_connections: at.within("hls.most_connections", h.most_connections.map(f64::from), 1.0, 1e6)?
+            as usize,
+        keys,
+        token_life: Duration::from_secs_f64(life),
+    })
+}
+
 fn door(at: &Source, d: &schema::Door, groups: &[schema::Group]) -> Result<Door, Trouble> {
     let mut shares = Vec::new();
     for (i, group) in groups.iter().enumerate() {
--- a/crates/settings/src/tests.rs
+++ b/crates/settings/src/tests.rs
@@ -115,7 +115,47 @@
         h.txtpb:8: group[0].share: is 0; 0.001 to 1000000 is wanted
         h.txtpb:16: door.tenant[0].share: is 0; 0.001 to 1000000 is wanted
         h.txtpb:16: door.first: is 8; 9 to 1000000 is wanted
-    "#]].assert_eq(&told);
+    "#]]
+    .assert_eq(&told);
+}
+
+#[test]
+fn the_second_front_and_what_it_wants_of_boxes() {
+    let hls = "hls { listen: \"127.0.0.1:8080\" most_connections: 9 token_life_s: 60 key { id: 1 secret: \"0123456789abcdef\" } }\n";
+    let good = GOOD.replace("front {", &format!("{hls}front {{"));
+    let read = settings("h.txtpb", &good).unwrap();
+    assert_eq!(format!("{:?}", read.hls.unwrap()), "Hls(127.0.0.1:8080, 1 keys)");
+    let mut told = String::new();
+    for (from, to) in [
+        ("127.0.0.1:8080", "8080"),
+        ("id: 1", "id: 300"),
+        ("0123456789abcdef", "short"),
+        ("} }\nfront", "} key { id: 1 secret: \"0123456789abcdef\" } }\nfront"),
+        ("key { id: 1 secret: \"0123456789abcdef\" }", ""),
+    ] {
+        let text = good.replacen(from, to, 1);
+        assert_ne!(text, good, "{from}");
+        told += &settings("h.txtpb", &text).map_or_else(|e| format!("{e}\n"), |_| "taken\n".into());
+    }
+    let boxes_of = |more: &str| {
+        format!(
+            "generation: 1\nbox {{ name: \"n\" address: \"127.0.0.1:1\" zone: \"a\" model: \"small\" cell: 1 weight: 1 {more}}}"
+        )
+    };
+    told += &format!("{}\n", boxes("b.txtpb", &boxes_of(""), &read.names).unwrap_err());
+    told += &format!("{}\n", boxes("b.txtpb", &boxes_of("http: \"x\""), &read.names).unwrap_err());
+    let list = boxes("b.txtpb", &boxes_of("http: \"127.0.0.1:2\" "), &read.names).unwrap();
+    assert_eq!(boxes("b.txtpb", &write_boxes(&list, &read.names), &read.names).unwrap(), list);
+    expect![[r#"
+        h.txtpb:16: hls.listen: "8080" is no address and port, as 127.0.0.1:8080
+        h.txtpb:16: hls.key[0].id: is 300; 0 to 255 is wanted
+        h.txtpb:16: hls.key[0].secret: has 5 characters; 16 at least are wanted
+        h.txtpb:16: hls.key[1].id: 1 is there twice
+        h.txtpb:16: hls.key: is left out; one at least is wanted
+        b.txtpb:2: box[0].http: is left out, and the settings have `hls`
+        b.txtpb:2: box[0].http: "x" is no address and port, as 127.0.0.1:8080
+    "#]]
+    .assert_eq(&told);
 }
 
 #[test]
