--- a/crates/director/src/core.rs
+++ b/crates/director/src/core.rs
@@ -29,7 +29,7 @@
 /// What a session's task is told.
 #[derive(Clone, Copy, Debug)]
 pub enum Order {
-    Setup { setup: SetupNo, address: SocketAddr, rung: Rung },
+    Setup { setup: SetupNo, address: SocketAddr, http: Option<SocketAddr>, rung: Rung },
     Withdraw { setup: SetupNo, if_unsent: bool },
     Answer(Answer),
     Rung(Rung),
@@ -251,10 +251,10 @@
     fn act(&mut self, effect: Effect) {
         match effect {
             Effect::Setup { sess, setup, node, rung, .. } => {
-                let address = self.engine.roster().entry(node).map(|entry| entry.address);
-                let sent = address.is_some_and(|address| {
+                let addresses = self.engine.roster().entry(node).map(|entry| (entry.address, entry.http));
+                let sent = addresses.is_some_and(|(address, http)| {
                     debug!(sess = sess.0, node = %address, rung = rung.0, "SETUP");
-                    self.order(sess, Order::Setup { setup, address, rung })
+                    self.order(sess, Order::Setup { setup, address, http, rung })
                 });
                 if !sent {
                     self.next.push(Input::Ended { sess, setup, how: Ending::Unsent, load: None });
--- a/crates/director/src/lib.rs
+++ b/crates/director/src/lib.rs
@@ -4,6 +4,7 @@
 mod attempt;
 mod clock;
 mod core;
+mod hls;
 mod node;
 mod owed;
 mod pool;
--- a/crates/director/src/serve.rs
+++ b/crates/director/src/serve.rs
@@ -11,6 +11,11 @@
 use ashglade_roster::List;
 use ashglade_rtsp::digest::Users;
 use ashglade_settings::{Names, Settings};
+use bytes::Bytes;
+use http_body_util::Empty;
+use hyper_util::client::legacy::Client;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::{TokioExecutor, TokioTimer};
 use tokio::net::TcpListener;
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::{Semaphore, watch};
@@ -26,6 +31,8 @@
     pub core: Core,
     pub clock: Clock,
     pub pool: Pool,
+    /// Connections to nodes for HLS.
+    pub http: Client<HttpConnector, Empty<Bytes>>,
     pub settings: Settings,
     /// Set when the director drains.
     pub draining: watch::Sender<bool>,
@@ -137,6 +144,14 @@
     };
     let address = settings.front.listen;
     let listener = TcpListener::bind(address).await.map_err(|source| Trouble::Listen { address, source })?;
+    let second = match &settings.hls {
+        Some(hls) => {
+            let address = hls.listen;
+            let listener = TcpListener::bind(address).await;
+            Some((hls.clone(), listener.map_err(|source| Trouble::Listen { address, source })?))
+        }
+        None => None,
+    };
     let mut terms = signal(SignalKind::terminate()).map_err(Trouble::Signals)?;
     let mut interrupts = signal(SignalKind::interrupt()).map_err(Trouble::Signals)?;
     let clock = Clock::start();
@@ -146,6 +161,7 @@
         core,
         clock,
         pool: Pool::new(settings.front.idle_connections),
+        http: http_client(&settings),
         settings: settings.clone(),
         draining: watch::channel(false).0,
         users: settings.front.users.clone().map(|(realm, users)| Arc::new(Users { realm, users })),
@@ -160,6 +176,10 @@
     let book = book(&settings, &options.settings, clock.now())?;
     tokio::spawn(core::run(shared.clone(), replay_start(&settings), commands, record, book, drained));
     tokio::spawn(follow(shared.clone(), boxes, settings.names.clone()));
+    if let Some((hls, listener)) = second {
+        info!(address = %hls.listen, "serving HLS");
+        tokio::spawn(crate::hls::run(shared.clone(), listener, hls));
+    }
     info!(%address, director = settings.headend.me, nodes = list.entries.len(), "serving");
 
     // Beyond the bound viewers wait in the kernel's queue: nothing of theirs has been taken.
@@ -206,6 +226,18 @@
     Ok(())
 }
 
+fn http_client(settings: &Settings) -> Client<HttpConnector, Empty<Bytes>> {
+    let mut connector = HttpConnector::new();
+    connector.set_connect_timeout(Some(settings.front.connect_timeout));
+    connector.set_nodelay(true);
+    Client::builder(TokioExecutor::new())
+        .pool_timer(TokioTimer::new())
+        .pool_max_idle_per_host(settings.front.idle_connections)
+        // Under the time after which most servers close an idle connection.
+        .pool_idle_timeout(std::time::Duration::from_secs(20))
+        .build(connector)
+}
+
 /// Opens the ledger, with what the director before this one left in it, and begins its pages anew.
 fn book(settings: &Settings, path: &Path, now: ashglade::time::Instant) -> Result<Book, Trouble> {
     let mut ledger = Ledger::new(Terms::default(), settings.headend.seed);
--- a/crates/director/src/viewer.rs
+++ b/crates/director/src/viewer.rs
@@ -64,6 +64,13 @@
     Tick,
 }
 
+/// A client's number, by its name or its address.
+pub fn hashed(name: &str) -> u64 {
+    let mut hasher = SipHasher13::new();
+    name.hash(&mut hasher);
+    hasher.finish()
+}
+
 pub async fn run(shared: Arc<Shared>, stream: TcpStream) {
     let front = &shared.settings.front;
     let mut server = Server::new(front.session_timeout.as_secs() as u32, &front.clock_rates);
@@ -223,6 +230,8 @@
             let response = self.server.turned_away(StatusCode::NotFound, None);
             return self.reply(response).await;
         };
+        let name = settings.door.as_ref().and_then(|door| door.tenant_query.as_deref());
+        let tenant = name.and_then(|name| asked.element(name));
         let sess = shared.new_sess();
         let want = Want {
             group,
@@ -231,7 +240,7 @@
             home: title.home,
             copies: title.copies,
             setup_timeout: settings.setup_timeouts[group.0],
-            tenant: self.tenant(&asked),
+            tenant: settings.tenant(tenant),
             client: self.client(&asked),
         };
         let (sender, orders) = mpsc::channel(ORDERS);
@@ -244,22 +253,10 @@
     /// Who asks, as the door tells clients apart: by the query element that settings name, else by address.
     fn client(&self, asked: &Asked) -> u64 {
         let name = self.shared.settings.door.as_ref().and_then(|door| door.client_query.as_deref());
+        let peer = || self.connection.get_ref().peer_addr().map(|peer| peer.ip().to_string());
         let named = name.and_then(|name| asked.element(name));
-        let mut hasher = SipHasher13::new();
-        match named {
-            Some(named) => named.hash(&mut hasher),
-            None => self.connection.get_ref().peer_addr().map(|peer| peer.ip()).ok().hash(&mut hasher),
-        }
-        hasher.finish()
-    }
-
-    /// The tenant that a viewer's URL names, by its place in the settings; 0 for others.
-    fn tenant(&self, asked: &Asked) -> usize {
-        let Some(door) = &self.shared.settings.door else { return 0 };
-        let named = door.tenant_query.as_deref().and_then(|name| asked.element(name));
-        named
-            .and_then(|named| door.tenants.iter().skip(1).position(|(name, _)| name == named))
-            .map_or(0, |i| i + 1)
+        let name = named.map(|name| name.to_string());
+        hashed(&name.unwrap_or_else(|| peer().unwrap_or_default()))
     }
 
     async fn order(&mut self, order: Order) -> Result<(), Closed> {
@@ -267,7 +264,7 @@
         let Some(live) = &mut self.live else { return Ok(()) };
         let sess = live.sess;
         match order {
-            Order::Setup { setup, address, rung } => {
+            Order::Setup { setup, address, rung, .. } => {
                 (live.rung, live.told) = (rung.0, rung.0);
                 match live.asked.rendition(address, rung.0) {
                     Some(url) => {
--- a/crates/director/tests/stage/mod.rs
+++ b/crates/director/tests/stage/mod.rs
@@ -23,28 +23,44 @@
   list_poll_ms: 20
 "#;
 
-/// A director, with its folder.
+/// A director, with its folder. Each test file uses one of its fronts.
+#[allow(dead_code)]
 pub struct Director {
     pub address: SocketAddr,
+    /// Where it serves HLS.
+    pub http: SocketAddr,
     _folder: tempfile::TempDir,
-    _held: TcpSocket,
+    _held: [TcpSocket; 2],
 }
 
+/// Nodes that speak RTSP alone.
+#[allow(dead_code)]
 pub async fn director(nodes: &[SocketAddr]) -> Director {
-    let folder = tempfile::tempdir().unwrap();
-    // Bound and not listened at, the port is the director's alone.
+    director_of(&nodes.iter().map(|&node| (node, node)).collect::<Vec<_>>()).await
+}
+
+/// Bound and not listened at, a port is the director's alone.
+fn hold() -> TcpSocket {
     let held = TcpSocket::new_v4().unwrap();
     held.set_reuseaddr(true).unwrap();
     held.bind("127.0.0.1:0".parse().unwrap()).unwrap();
-    let address = held.local_addr().unwrap();
+    held
+}
+
+/// Nodes by their addresses for RTSP and for HLS.
+pub async fn director_of(nodes: &[(SocketAddr, SocketAddr)]) -> Director {
+    let folder = tempfile::tempdir().unwrap();
+    let held = [hold(), hold()];
+    let [address, http] = [&held[0], &held[1]].map(|held| held.local_addr().unwrap());
     let settings = format!(
         "{SETTINGS} listen: \"{address}\" }}\nbox_list: \"boxes.txtpb\"\n\
+         hls {{ listen: \"{http}\" most_connections: 50 token_life_s: 600 key {{ id: 1 secret: \"0123456789abcdef\" }} }}\n\
          director {{ number: 0 directors: 1 zone: \"a\" seed: 5 }}\n"
     );
     let mut boxes = "generation: 1\n".to_string();
-    for (i, node) in nodes.iter().enumerate() {
+    for (i, (node, http)) in nodes.iter().enumerate() {
         boxes += &format!(
-            "box {{ name: \"n{i}\" address: \"{node}\" zone: \"a\" model: \"m\" cell: {i} weight: 1 }}\n"
+            "box {{ name: \"n{i}\" address: \"{node}\" http: \"{http}\" zone: \"a\" model: \"m\" cell: {i} weight: 1 }}\n"
         );
     }
     std::fs::write(folder.path().join("boxes.txtpb"), boxes).unwrap();
@@ -54,7 +70,7 @@
     tokio::spawn(async move { ashglade_director::serve(options).await.unwrap() });
     loop {
         if TcpStream::connect(address).await.is_ok() {
-            return Director { address, _folder: folder, _held: held };
+            return Director { address, http, _folder: folder, _held: held };
         }
         tokio::task::yield_now().await;
     }
--- a/crates/hls/src/session.rs
+++ b/crates/hls/src/session.rs
@@ -13,7 +13,7 @@
 use crate::playlist::{Variant, offered};
 
 /// What a request is for.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Ask {
     Master,
     /// The playlist of a variant, by its number; none for what variants share, as audio.
@@ -96,8 +96,9 @@
 /// Without a request for so many target durations it is over. A player that is alive reloads a live playlist once in
 /// one (RFC 8216, 6.3.4) and fetches ahead of a recorded one; its buffer may hold some.
 const QUIET: f64 = 5.0;
-/// Until a playlist told one, and at least.
+/// In seconds: until a playlist told one, and the least that is gone by.
 const TARGET: f64 = 2.0;
+const LEAST: f64 = 1.0;
 /// Segments of a variant that was withdrawn are still given for so many target durations: the player has its playlist.
 const GRACE: f64 = 2.0;
 /// Peaks may be over the rung's rate by this part.
@@ -147,6 +148,11 @@
         self.variants.get(variant).map(|v| v.path.as_str())
     }
 
+    /// kB a second of a variant at its peak.
+    pub fn rate(&self, variant: usize) -> Option<f64> {
+        self.variants.get(variant).map(|v| v.rate)
+    }
+
     /// The engine changed the rung; the player hears of it when it loads its playlist again.
     pub fn rung(&mut self, rate: f64, now: Instant) {
         let most = rate * PEAK;
@@ -215,7 +221,7 @@
 
     /// A media playlist told its target duration, in seconds.
     pub fn target(&mut self, target: f64) {
-        self.target = Span::from_secs(target.max(TARGET));
+        self.target = Span::from_secs(target.max(LEAST));
     }
 
     /// An answer begins to be written, and is done.
--- a/crates/lab/src/day.rs
+++ b/crates/lab/src/day.rs
@@ -43,6 +43,9 @@
         return Err(at.trouble("viewers", "is left out; one crowd at least is wanted"));
     }
     for (i, viewers) in day.viewers.iter().enumerate() {
+        if viewers.hls_share.is_some_and(|part| part > 0.0) && headend.hls.is_none() {
+            return Err(at.trouble(&format!("viewers[{i}].hls_share"), "needs the headend's `hls`"));
+        }
         check_viewers(&at, &format!("viewers[{i}]"), viewers, (headend.group.len(), directors))?;
     }
     let lists = at.need("lists", day.lists.as_ref())?;
@@ -66,7 +69,11 @@
     at.within(&field("rate"), viewers.rate, 0.01, 1e5)?;
     let from = at.within(&field("watch_from_s"), viewers.watch_from_s, 0.1, 3600.0)?;
     at.within(&field("watch_to_s"), viewers.watch_to_s, from, 3600.0)?;
-    for (name, part) in [("impatient", viewers.impatient), ("small_screens", viewers.small_screens)] {
+    for (name, part) in [
+        ("impatient", viewers.impatient),
+        ("small_screens", viewers.small_screens),
+        ("hls_share", viewers.hls_share),
+    ] {
         at.within(&field(name), Some(part.unwrap_or(0.0)), 0.0, 1.0)?;
     }
     at.within(&field("rejoin_ms"), viewers.rejoin_ms, 1.0, 60_000.0)?;
--- a/crates/lab/src/directors.rs
+++ b/crates/lab/src/directors.rs
@@ -21,6 +21,8 @@
     pub all: Vec<(u16, SocketAddr, PathBuf)>,
     /// Bound and not listened at: a port stays its director's, also while that is down.
     _ports: Vec<TcpSocket>,
+    /// The same for HLS.
+    seconds: Vec<(SocketAddr, TcpSocket)>,
     running: Mutex<Vec<Option<Child>>>,
     log: Log,
 }
@@ -40,17 +42,26 @@
             .collect::<Result<_, _>>()
             .map_err(|e| format!("no port on loopback: {e}"))?;
         let mut all = Vec::new();
+        let mut seconds = Vec::new();
         for (number, port) in (0..count).zip(&ports) {
             let address = port.local_addr().map_err(|e| e.to_string())?;
             let folder = out.join(format!("director-{number}"));
             std::fs::create_dir_all(&folder).map_err(|e| format!("{}: {e}", folder.display()))?;
-            let text = headend(day, number, &address.to_string())?;
+            let second = hold().map_err(|e| format!("no port on loopback: {e}"))?;
+            let http = second.local_addr().map_err(|e| e.to_string())?;
+            seconds.push((http, second));
+            let text = headend(day, number, &address.to_string(), &http.to_string())?;
             let path = folder.join("headend.txtpb");
             std::fs::write(&path, text).map_err(|e| format!("{}: {e}", path.display()))?;
             all.push((number, address, folder));
         }
         let running = Mutex::new(all.iter().map(|_| None).collect());
-        Ok(Directors { all, _ports: ports, running, log })
+        Ok(Directors { all, _ports: ports, seconds, running, log })
+    }
+
+    /// Where a director serves HLS.
+    pub fn http(&self, number: u16) -> SocketAddr {
+        self.seconds[usize::from(number)].0
     }
 
     pub fn settings(&self, number: u16) -> Option<PathBuf> {
@@ -136,7 +147,7 @@
 }
 
 /// The settings of one of the day's directors, as text.
-pub fn headend(day: &Day, number: u16, listen: &str) -> Result<String, String> {
+pub fn headend(day: &Day, number: u16, listen: &str, http: &str) -> Result<String, String> {
     let mut headend = day.headend.clone().unwrap_or_default();
     let zone = headend.zone.get(usize::from(number) % headend.zone.len().max(1)).cloned();
     headend.director = Some(schema::Director {
@@ -146,6 +157,9 @@
         seed: Some(day.seed.unwrap_or(0) + u64::from(number)),
     });
     headend.front.get_or_insert_default().listen = Some(listen.into());
+    if let Some(hls) = &mut headend.hls {
+        hls.listen = Some(http.into());
+    }
     headend.box_list = Some("boxes.txtpb".into());
     write(&headend)
 }
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -135,13 +135,16 @@
     let media = &played.media;
     let count = |n: &std::sync::atomic::AtomicU64| n.load(Ordering::Relaxed);
     let report = format!(
-        "{}media   {} packets, {} of another SSRC, {} steps back in the sequence, {} breaks\norphans {} sessions left \
+        "{}media   {} packets, {} of another SSRC, {} steps back in the sequence, {} breaks; {} segments of HLS, {:.1} s \
+         without one\norphans {} sessions left \
          at nodes, {:.1} s held by nobody; directors {}\nset-ups {}\nmemory  {}\n",
         played.verdict,
         count(&media.packets),
         count(&media.foreign),
         count(&media.backward),
         count(&media.breaks),
+        count(&media.segments),
+        count(&media.stalled_ms) as f64 / 1e3,
         played.orphans,
         played.orphaned,
         if played.ended_well { "ended well" } else { "did not end well" },
--- a/crates/lab/src/play.rs
+++ b/crates/lab/src/play.rs
@@ -81,8 +81,11 @@
     let seed = day.seed.unwrap_or(0);
     let fleet = Fleet::start(specs, vec![uplink; head.racks.into()], ladder, cold, seed, log.clone()).await;
     let fleet = fleet.map_err(|e| format!("the nodes' listeners: {e}"))?;
-    let entries =
-        fleet.nodes.iter().zip(entries).map(|(node, entry)| Entry { address: node.address, ..entry });
+    let entries = fleet.nodes.iter().zip(entries).map(|(node, entry)| Entry {
+        address: node.address,
+        http: Some(node.http),
+        ..entry
+    });
     let entries: Vec<Entry> = entries.collect();
 
     let directors = Directors::prepare(day, out, log.clone())?;
@@ -109,7 +112,7 @@
     for trouble in &day.trouble {
         troubles.spawn(trouble::cause(stage.clone(), trouble.clone(), begun, record));
     }
-    let scripts = scripts(day, &settings, &headend, &stage.directors.all);
+    let scripts = scripts(day, &settings, &headend, &stage.directors);
     let total = scripts.len();
     let mut viewers = JoinSet::new();
     let mut shown = begun;
@@ -194,7 +197,8 @@
 /// Waits a moment for nodes to notice that connections are closed; the sessions that are left.
 async fn settle(fleet: &Fleet) -> usize {
     let held = || fleet.nodes.iter().map(|node| node.held()).sum::<usize>();
-    for _ in 0..40 {
+    // HLS sessions end by their quiet.
+    for _ in 0..280 {
         if held() == 0 {
             break;
         }
@@ -302,15 +306,17 @@
     day: &Day,
     settings: &Settings,
     headend: &ashglade_settings::schema::headend::Headend,
-    directors: &[(u16, SocketAddr, std::path::PathBuf)],
+    directors: &Directors,
 ) -> Vec<(Duration, Script)> {
     let titles: Vec<&String> = headend.title.iter().filter_map(|t| t.name.as_ref()).collect();
     let script = |(id, visit): (u64, Visit)| {
         let title = titles.get(visit.title).map_or_else(String::new, |title| title.to_string());
-        let addresses = visit.directors.iter().filter_map(|&d| directors.get(usize::from(d)));
+        let addresses = visit.directors.iter().filter_map(|&d| directors.all.get(usize::from(d)));
+        let http = || visit.directors.iter().map(|&d| (d, directors.http(d))).collect();
         let script = Script {
             id,
             directors: addresses.map(|&(n, address, _)| (n, address)).collect(),
+            hls: visit.hls.then(http),
             group: settings.group_names[visit.group].clone(),
             tracks: settings.titles.get(&title).map_or(1, |t| t.tracks),
             title,
--- a/crates/lab/src/visits.rs
+++ b/crates/lab/src/visits.rs
@@ -20,6 +20,8 @@
     /// Comes again after a busy reply or a break so often at most, and unless told otherwise after so long.
     pub returns: u32,
     pub rejoin: f64,
+    /// Its player speaks HTTP.
+    pub hls: bool,
 }
 
 /// All viewers of the day, in the order in which they come.
@@ -71,6 +73,8 @@
         let place = directors.iter().position(|&d| d == first).unwrap_or(0);
         directors.rotate_left(place);
         let rejoin = viewers.rejoin_ms.unwrap_or(1000.0) * (0.5 + 0.5 * random.rand_float()) / 1e3;
+        // Drawn only where there are any: other days stay as they are.
+        let hls = viewers.hls_share.is_some_and(|part| part > 0.0 && random.rand_float() < part);
         visits.push(Visit {
             at,
             directors,
@@ -81,6 +85,7 @@
             leaves_after: leaves.then_some(leaves_after),
             returns: viewers.returns.unwrap_or(0),
             rejoin,
+            hls,
         });
     }
 }
--- a/crates/settings/src/headend.rs
+++ b/crates/settings/src/headend.rs
@@ -104,6 +104,13 @@
         (self.headend.ladder.len() - 1) as u8
     }
 
+    /// The tenant of that name, by its place in the settings; 0 for the others.
+    pub fn tenant(&self, named: Option<&str>) -> usize {
+        let tenants = self.door.iter().flat_map(|door| &door.tenants).enumerate().skip(1);
+        let mut named = tenants.filter(|(_, (name, _))| Some(name.as_str()) == named);
+        named.next().map_or(0, |(i, _)| i)
+    }
+
     /// The service group of a viewer: that of the URL, else the title's, else the default one. One that the URL
     /// names and that does not exist is an error of the viewer's.
     pub fn group_of(&self, named: Option<&str>, title: &Title) -> Option<Group> {
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -2,6 +2,8 @@
 //! that ask, watch, come again and leave. Faults are set from outside, by script. Loopback only.
 
 mod connection;
+mod hls;
+pub mod hls_player;
 mod log;
 pub mod node;
 pub mod viewer;
--- a/crates/standin/src/log.rs
+++ b/crates/standin/src/log.rs
@@ -36,8 +36,13 @@
 
     /// Notes that this was seen now.
     pub fn saw(&self, what: What) {
+        self.saw_before(std::time::Duration::ZERO, what);
+    }
+
+    /// Notes that this was so that long ago, though it is only known now.
+    pub fn saw_before(&self, ago: std::time::Duration, what: What) {
         let mut inner = self.0.lock().unwrap_or_else(|broken| broken.into_inner());
-        let at = inner.epoch_ms + inner.started.elapsed().as_secs_f64() * 1e3;
+        let at = inner.epoch_ms + (inner.started.elapsed().as_secs_f64() - ago.as_secs_f64()) * 1e3;
         let sight = Sight { at, what };
         if serde_json::to_writer(&mut inner.file, &sight).is_ok() {
             let _ = inner.file.write_all(b"\n");
--- a/crates/standin/src/node.rs
+++ b/crates/standin/src/node.rs
@@ -15,8 +15,8 @@
 use tokio::sync::{mpsc, watch};
 use tokio::time::Instant;
 
-use crate::connection;
 use crate::log::Log;
+use crate::{connection, hls};
 
 /// What a node is. Rates in kB a second.
 #[derive(Clone, Debug)]
@@ -113,6 +113,8 @@
     pub orphaned: Duration,
     /// When the last SETUP in the queue will have been handled.
     pub busy_until: Instant,
+    /// HLS sessions, by viewer and try: their number, and when they were last heard of.
+    pub hls: BTreeMap<String, (u64, Instant)>,
     frozen: Load,
     next_connection: u64,
     pub random: oorandom::Rand64,
@@ -121,6 +123,8 @@
 pub struct Node {
     pub spec: Spec,
     pub address: SocketAddr,
+    /// Where it serves HLS.
+    pub http: SocketAddr,
     pub(crate) log: Log,
     state: Mutex<State>,
     /// Counts changes that connections must hear of: faults, and the process's end.
@@ -212,19 +216,31 @@
                 orphans: BTreeMap::new(),
                 orphaned: Duration::ZERO,
                 busy_until: started,
+                hls: BTreeMap::new(),
                 frozen: Load::default(),
                 next_connection: 0,
                 random: oorandom::Rand64::new(u128::from(seed) << 32 | i as u128),
             };
             let address = listener.local_addr()?;
             let changes = watch::channel(0).0;
-            nodes.push(Arc::new(Node { spec, address, log: log.clone(), state: Mutex::new(state), changes }));
+            let second = listen(([127, 0, 0, 1], 0).into())?;
+            let http = second.local_addr()?;
+            let listener = (listener, second);
+            nodes.push(Arc::new(Node {
+                spec,
+                address,
+                http,
+                log: log.clone(),
+                state: Mutex::new(state),
+                changes,
+            }));
             listeners.push(listener);
         }
         let cuts = Mutex::new(vec![1.0; uplinks.len()]);
         let fleet = Arc::new(Fleet { nodes, uplinks, cuts, ladder, cold, log });
-        for (node, listener) in fleet.nodes.iter().zip(listeners) {
+        for (node, (listener, second)) in fleet.nodes.iter().zip(listeners) {
             tokio::spawn(accept(fleet.clone(), node.clone(), listener));
+            tokio::spawn(hls::accept(fleet.clone(), node.clone(), second));
         }
         tokio::spawn(pump(fleet.clone()));
         Ok(fleet)
@@ -263,7 +279,7 @@
         if node.state().fallen {
             return Ok(());
         }
-        let listener = listen(node.address)?;
+        let (listener, second) = (listen(node.address)?, listen(node.http)?);
         {
             let mut state = node.state();
             (state.up, state.started) = (true, Instant::now());
@@ -271,7 +287,8 @@
             state.faults = Faults::default();
         }
         self.log.saw(What::NodeStarted { node: node.spec.name.clone() });
-        tokio::spawn(accept(self.clone(), node, listener));
+        tokio::spawn(accept(self.clone(), node.clone(), listener));
+        tokio::spawn(hls::accept(self.clone(), node, second));
         Ok(())
     }
 
@@ -330,6 +347,12 @@
         }
     }
 
+    /// The share of what is due that its sessions get.
+    pub(crate) fn share(&self, node: &Node) -> f64 {
+        let link = self.asked(node) / self.link(node);
+        1.0 / link.max(self.uplink_level(node.spec.rack)).max(1.0)
+    }
+
     /// Turns a set-up away?
     pub(crate) fn full(&self, node: &Node) -> bool {
         let held = node.state().sessions();
@@ -351,7 +374,11 @@
     state.up = false;
     state.streams.clear();
     state.orphans.clear();
+    let hls: Vec<u64> = std::mem::take(&mut state.hls).into_values().map(|(number, _)| number).collect();
     drop(state);
+    for connection in hls {
+        node.log.saw(What::Closed { node: node.spec.name.clone(), connection });
+    }
     node.changes.send_modify(|n| *n += 1);
 }
 
--- a/crates/standin/src/viewer.rs
+++ b/crates/standin/src/viewer.rs
@@ -13,6 +13,7 @@
 use tokio::time::{Instant, timeout_at};
 use tokio_util::codec::Framed;
 
+use crate::hls_player;
 use crate::log::Log;
 
 /// What one viewer does.
@@ -21,6 +22,8 @@
     pub id: u64,
     /// Directors it may ask, by number; it begins with the first and goes round.
     pub directors: Vec<(u16, SocketAddr)>,
+    /// It speaks HTTP, with these in place of those.
+    pub hls: Option<Vec<(u16, SocketAddr)>>,
     pub group: String,
     pub title: String,
     /// Tracks that it sets up.
@@ -45,10 +48,13 @@
     pub foreign: AtomicU64,
     pub backward: AtomicU64,
     pub breaks: AtomicU64,
+    /// Segments of HLS that arrived, and seconds for which players had none.
+    pub segments: AtomicU64,
+    pub stalled_ms: AtomicU64,
 }
 
 /// How a try ended.
-enum End {
+pub(crate) enum End {
     Watched,
     Busy(Option<Duration>),
     Broken,
@@ -59,12 +65,15 @@
     let mut left = script.watch;
     let mut turned_to = 0;
     for again in 0..=script.returns {
-        let Some(&(director, address)) = script.directors.get(turned_to % script.directors.len().max(1))
-        else {
+        let directors = script.hls.as_ref().unwrap_or(&script.directors);
+        let Some(&(director, address)) = directors.get(turned_to % directors.len().max(1)) else {
             return;
         };
         let began = Instant::now();
-        let end = one(&script, again, director, address, left, &log, &media).await;
+        let end = match script.hls {
+            Some(_) => hls_player::one(&script, again, director, address, left, &log, &media).await,
+            None => one(&script, again, director, address, left, &log, &media).await,
+        };
         left = left.saturating_sub(began.elapsed());
         match end {
             End::Watched | End::Left => return,
