--- a/crates/director/src/hls/fetch.rs
+++ b/crates/director/src/hls/fetch.rs
@@ -13,6 +13,7 @@
 use bytes::Bytes;
 use http_body_util::{BodyExt, Empty, Limited};
 use hyper::body::Incoming;
+use hyper::header::{HeaderValue, RANGE};
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
@@ -144,10 +145,13 @@
 }
 
 /// Asks a node for something of a session's that plays there; the head of its answer.
-pub async fn get(shared: &Shared, url: &Url) -> Result<Response<Incoming>, Lost> {
+pub async fn get(shared: &Shared, url: &Url, range: Option<HeaderValue>) -> Result<Response<Incoming>, Lost> {
     let client = &shared.http;
     let uri = url.as_str().parse::<hyper::Uri>().map_err(|_| Lost::Node)?;
-    let request = Request::get(uri).body(Empty::<Bytes>::new()).map_err(|_| Lost::Node)?;
+    let mut request = Request::get(uri).body(Empty::<Bytes>::new()).map_err(|_| Lost::Node)?;
+    if let Some(range) = range {
+        request.headers_mut().insert(RANGE, range);
+    }
     let within = shared.settings.front.answer_timeout;
     match tokio::time::timeout(within, client.request(request)).await {
         Ok(Ok(response)) => Ok(response),
@@ -158,7 +162,7 @@
 
 /// A playlist, whole.
 pub async fn text(shared: &Shared, url: &Url) -> Result<(StatusCode, Option<Load>, Bytes), Lost> {
-    let response = get(shared, url).await?;
+    let response = get(shared, url, None).await?;
     let (status, load) = (response.status(), load_of(&response));
     let within = shared.settings.front.answer_timeout;
     let body = Limited::new(response.into_body(), MOST_BYTES + 1).collect();
--- a/crates/director/src/hls/mod.rs
+++ b/crates/director/src/hls/mod.rs
@@ -18,7 +18,7 @@
 use http_body_util::combinators::BoxBody;
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
-use hyper::header::{CACHE_CONTROL, CONTENT_TYPE, HeaderValue, RETRY_AFTER};
+use hyper::header::{CACHE_CONTROL, CONTENT_TYPE, HeaderValue, RANGE, RETRY_AFTER};
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::net::{TcpListener, TcpStream};
@@ -36,6 +36,8 @@
     pub ask: Ask,
     /// Within the title's folder at the node, query included.
     pub path: String,
+    /// Of a part, the bytes that are wanted.
+    pub range: Option<HeaderValue>,
     pub reply: oneshot::Sender<Reply>,
 }
 
@@ -157,7 +159,7 @@
                 return refused;
             }
         } else {
-            let (token, job) = match self.job(Title(known.id), rest, query, reply) {
+            let (token, job) = match self.job(Title(known.id), rest, &request, reply) {
                 Ok(found) => found,
                 Err(forged) => return plain(StatusCode::FORBIDDEN, &forged.to_string()),
             };
@@ -183,7 +185,7 @@
         &self,
         title: Title,
         rest: &str,
-        query: Option<&str>,
+        request: &Request<Incoming>,
         reply: oneshot::Sender<Reply>,
     ) -> Result<(Token, Job), Forged> {
         let mut parts = rest.splitn(3, '/');
@@ -191,11 +193,12 @@
             return Err(Forged::Malformed);
         };
         let token = self.keys.verify(token, title, now())?;
-        let path = query.map_or_else(|| path.to_string(), |query| format!("{path}?{query}"));
+        let path = request.uri().query().map_or_else(|| path.to_string(), |query| format!("{path}?{query}"));
         let (what, signature) = mark.split_once('-').ok_or(Forged::Path)?;
         self.keys.verify_path(token.sess, &format!("{what}/{path}"), signature)?;
         let ask = Ask::read(what).ok_or(Forged::Path)?;
-        Ok((token, Job { ask, path, reply }))
+        let range = request.headers().get(RANGE).cloned();
+        Ok((token, Job { ask, path, range, reply }))
     }
 
     /// The session's own URI of a path at its node.
--- a/crates/director/src/hls/session.rs
+++ b/crates/director/src/hls/session.rs
@@ -13,7 +13,7 @@
 use ashglade_hls::{Ask, Session, Step, Token};
 use bytes::Bytes;
 use http_body_util::BodyExt;
-use hyper::header::{CONTENT_LENGTH, CONTENT_TYPE};
+use hyper::header::{ACCEPT_RANGES, CONTENT_LENGTH, CONTENT_RANGE, CONTENT_TYPE};
 use hyper::{Response, StatusCode};
 use tokio::sync::{mpsc, oneshot};
 use tracing::{info, warn};
@@ -82,7 +82,7 @@
     let signed = front.keys.sign(&start.token);
     let (done, mut relayed) = mpsc::channel(MOST_OPEN);
     let mut jobs = start.jobs;
-    let first = Job { ask: Ask::Master, path: String::new(), reply: start.reply };
+    let first = Job { ask: Ask::Master, path: String::new(), range: None, reply: start.reply };
     let mut live = Live {
         front,
         title: start.title,
@@ -398,11 +398,11 @@
         let done = self.done.clone();
         tokio::spawn(async move {
             let asked = std::time::Instant::now();
-            let reply = match fetch::get(&shared, &url).await {
+            let reply = match fetch::get(&shared, &url, job.range).await {
                 Ok(response) => {
                     let mut reply = Response::new(());
                     *reply.status_mut() = response.status();
-                    for name in [CONTENT_TYPE, CONTENT_LENGTH] {
+                    for name in [CONTENT_TYPE, CONTENT_LENGTH, CONTENT_RANGE, ACCEPT_RANGES] {
                         if let Some(value) = response.headers().get(&name) {
                             reply.headers_mut().insert(name, value.clone());
                         }
--- a/crates/director/tests/hls.rs
+++ b/crates/director/tests/hls.rs
@@ -83,7 +83,8 @@
         /t/TOKEN/m0/v0/index.m3u8?viewer=7.0
         #EXT-X-STREAM-INF:BANDWIDTH=160000
         /t/TOKEN/m1/v1/index.m3u8?viewer=7.0
-    "#]].assert_eq(&plain(&master));
+    "#]]
+    .assert_eq(&plain(&master));
     let variants = uris(master.as_bytes());
     let (_, media) = get(&mut http, &variants[1]).await;
     expect![[r#"
@@ -93,10 +94,13 @@
         #EXTINF:1.0,
         /t/TOKEN/p#/v#/##########.ts?viewer=#.#
         #EXTINF:1.0,
-    "#]].assert_eq(&plain(&media));
+    "#]]
+    .assert_eq(&plain(&media));
     let segment = uris(media.as_bytes())[0].clone();
     let (status, _, bytes) = http.get(&segment).await.unwrap();
     assert_eq!((status, bytes.len()), (StatusCode::OK, 20_000));
+    let (status, _, bytes) = http.get_with(&segment, Some("bytes=100-299")).await.unwrap();
+    assert_eq!((status, bytes.len()), (StatusCode::PARTIAL_CONTENT, 200));
     // A hundred reloads at once cost the node nothing more than one: the director keeps a live playlist.
     for _ in 0..100 {
         assert_eq!(get(&mut http, &variants[1]).await.0, StatusCode::OK);
@@ -128,7 +132,8 @@
         no title: 404 there is no such title
         no group: 404 there is no such service group
         no rung: 400 top: a rung's number is wanted
-    "#]].assert_eq(&told);
+    "#]]
+    .assert_eq(&told);
     assert_eq!(count(&log, setup), 1);
 }
 
@@ -183,7 +188,8 @@
     // The same keys: signed here as far as it can tell, and not known.
     let mut next = Http::open(other.http).await.unwrap();
     let told = get(&mut next, &uris(master.as_bytes())[0]).await;
-    expect![[r#"(410, "the session is over, or was another director's; begin anew\n")"#]].assert_eq(&format!("{told:?}"));
+    expect![[r#"(410, "the session is over, or was another director's; begin anew\n")"#]]
+        .assert_eq(&format!("{told:?}"));
     assert_eq!(count(&log, setup), 1);
 }
 
--- a/crates/hls/src/playlist.rs
+++ b/crates/hls/src/playlist.rs
@@ -79,8 +79,26 @@
 }
 
 impl Place<'_> {
+    /// The same for a URI that can only mean what it says: a name beside the playlist, as nearly all are. Nothing in
+    /// it is a scheme, a root, a step up or to be encoded, so that joining it can't lead elsewhere.
+    fn plain(&self, uri: &str) -> Option<String> {
+        let named = |b: u8| b.is_ascii_alphanumeric() || matches!(b, b'-' | b'_' | b'.' | b'~');
+        let path = uri.split('?').next().unwrap_or_default();
+        let query = uri.len() - path.len();
+        let simple = path.bytes().all(|b| named(b) || b == b'/')
+            && uri.bytes().skip(path.len()).all(|b| named(b) || matches!(b, b'?' | b'=' | b'&'))
+            && path.split('/').all(|part| !part.is_empty() && part != "." && part != "..");
+        let beside = self.url.path().rsplit_once('/').map_or("", |(dir, _)| dir);
+        let beside = format!("{beside}/");
+        let dir = beside.strip_prefix(self.folder)?;
+        (simple && uri.len() > query).then(|| format!("{dir}{uri}"))
+    }
+
     /// The path within the title's folder, with its query.
     fn within(&self, line: usize, uri: &str) -> Result<String, Trouble> {
+        if let Some(plain) = self.plain(uri) {
+            return Ok(plain);
+        }
         let leaves = || Trouble::Leaves { line, uri: uri.chars().take(200).collect() };
         let full = self.url.join(uri).map_err(|_| leaves())?;
         let same = (full.scheme(), full.host(), full.port())
--- a/crates/hls/src/tests.rs
+++ b/crates/hls/src/tests.rs
@@ -55,7 +55,7 @@
     assert_eq!(keys(&[1]).verify_path(Sess(78), "v1/3.ts", &path), Err(Forged::Path));
     assert_eq!(keys(&[1]).verify_path(Sess(77), "v2/3.ts", &path), Err(Forged::Path));
     assert_eq!(keys(&[1]).verify_path(Sess(77), "v1/3.ts", ""), Err(Forged::Path));
-    assert_eq!(format!("{:?}", keys(&[3])), "Keys([Key(3)])");
+    assert_eq!(format!("{:?}", keys(&[3])), "Keys[3]");
 }
 
 fn place(url: &Url) -> playlist::Place<'_> {
@@ -227,6 +227,35 @@
     );
 }
 
+#[test]
+fn a_plain_name_means_what_joining_it_means() {
+    let url = Url::parse("http://node:81/renewal/mid/index.m3u8?n=4").unwrap();
+    let give = |path: &str| path.to_string();
+    for uri in [
+        "a.ts",
+        "a/b.ts?x=1&y=2",
+        "../a.ts",
+        "./a.ts",
+        "/renewal/x.ts",
+        "a b.ts",
+        "a//b.ts",
+        "?x=1",
+        "%2e%2e/a.ts",
+        "a:b.ts",
+        "é.ts",
+    ] {
+        let text = format!("#EXTM3U\n#EXT-X-TARGETDURATION:4\n#EXTINF:4,\n{uri}\n");
+        let joined = url.join(uri).unwrap();
+        let wanted = joined.path().strip_prefix("/renewal/").map(|path| match joined.query() {
+            Some(query) => format!("{path}?{query}"),
+            None => path.to_string(),
+        });
+        let got = playlist::media(text.as_bytes(), &place(&url), &give).ok();
+        let got = got.and_then(|media| media.text.lines().last().map(str::to_string));
+        assert_eq!(got, wanted.filter(|_| joined.scheme() == "http"), "{uri}");
+    }
+}
+
 #[test]
 fn any_bytes_are_read_or_refused() {
     let url = Url::parse("http://node:81/renewal/mid/index.m3u8").unwrap();
--- a/crates/hls/src/token.rs
+++ b/crates/hls/src/token.rs
@@ -26,8 +26,22 @@
 }
 
 /// The first signs, all verify.
-#[derive(Clone, Debug)]
-pub struct Keys(Vec<Key>);
+#[derive(Clone)]
+pub struct Keys(Vec<Ready>);
+
+/// A key, hashed as far as it can be before what it signs is known.
+#[derive(Clone)]
+struct Ready {
+    id: u8,
+    mac: Hmac<Sha256>,
+}
+
+impl std::fmt::Debug for Keys {
+    fn fmt(&self, f: &mut std::fmt::Formatter) -> std::fmt::Result {
+        f.write_str("Keys")?;
+        f.debug_list().entries(self.0.iter().map(|key| key.id)).finish()
+    }
+}
 
 /// What a token says.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -61,12 +75,16 @@
 impl Keys {
     /// None without a key.
     pub fn new(keys: Vec<Key>) -> Option<Keys> {
-        (!keys.is_empty()).then_some(Keys(keys))
+        let ready = |key: Key| {
+            // Keys of any length will do: longer ones are hashed first.
+            let mac = Hmac::<Sha256>::new_from_slice(&key.secret).expect("a key of any length");
+            Ready { id: key.id, mac }
+        };
+        (!keys.is_empty()).then(|| Keys(keys.into_iter().map(ready).collect()))
     }
 
-    fn mac(key: &Key, parts: &[&[u8]]) -> Hmac<Sha256> {
-        // Keys of any length will do: longer ones are hashed first.
-        let mut mac = Hmac::<Sha256>::new_from_slice(&key.secret).expect("a key of any length");
+    fn mac(key: &Ready, parts: &[&[u8]]) -> Hmac<Sha256> {
+        let mut mac = key.mac.clone();
         parts.iter().for_each(|part| mac.update(part));
         mac
     }
@@ -116,7 +134,7 @@
 
     pub fn verify_path(&self, sess: Sess, path: &str, signature: &str) -> Result<(), Forged> {
         let given = URL_SAFE_NO_PAD.decode(signature).map_err(|_| Forged::Path)?;
-        let fits = |key: &Key| {
+        let fits = |key: &Ready| {
             let mac = Self::mac(key, &[b"path", &sess.0.to_be_bytes(), path.as_bytes()]);
             given.len() == PATH_SIGNATURE && mac.verify_truncated_left(&given).is_ok()
         };
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -7,6 +7,7 @@
 mod lists;
 mod matrix;
 mod measure;
+mod measure_hls;
 mod play;
 mod plot;
 mod trouble;
@@ -75,6 +76,13 @@
         #[arg(long, default_value = "target/measure")]
         out: PathBuf,
     },
+    /// Measures the second front: rewriting, and thousands of live sessions on one director.
+    MeasureHls {
+        #[arg(long, default_value = "target/measure")]
+        out: PathBuf,
+        #[arg(long, default_value_t = 10_000)]
+        sessions: usize,
+    },
     /// A plain relay, to measure against.
     #[command(hide = true)]
     Copy { from: std::net::SocketAddr },
@@ -101,6 +109,7 @@
         }),
         Command::Matrix { out, short } => run(play_matrix(out, short)),
         Command::Measure { out } => run(measure::measure(&out)).map(|()| true),
+        Command::MeasureHls { out, sessions } => run(measure_hls::measure(&out, sessions)).map(|()| true),
         Command::Copy { from } => run(measure::copy(from)).map(|()| true),
         Command::Director { settings, record } => {
             // A lab that is killed must not leave its directors behind.
--- a/crates/lab/src/measure.rs
+++ b/crates/lab/src/measure.rs
@@ -3,6 +3,7 @@
 
 use std::net::SocketAddr;
 use std::path::Path;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use ashglade_rtsp::messages::{self, Channels};
@@ -219,16 +220,25 @@
     began.elapsed().as_secs_f64() * 1e9 / done.max(1) as f64
 }
 
-pub async fn measure(out: &Path) -> Result<(), String> {
+/// One director before twelve nodes that have room for whatever comes.
+pub struct Set {
+    pub directors: Directors,
+    pub fleet: Arc<Fleet>,
+    lists: (Vec<std::path::PathBuf>, Vec<ashglade_roster::Entry>, ashglade_settings::Names),
+    log: ashglade_standin::Log,
+}
+
+pub async fn set(out: &Path) -> Result<Set, String> {
     std::fs::create_dir_all(out).map_err(|e| format!("{}: {e}", out.display()))?;
     let kept =
-        include_str!("../../../days/bad-day.txtpb").lines().filter(|line| !line.starts_with("trouble"));
+        include_str!("../../../days/mixed-day.txtpb").lines().filter(|line| !line.starts_with("trouble"));
     let text = kept
         .collect::<Vec<_>>()
         .join("\n")
         .replace("places: 24", "places: 100000")
         .replace("unit_kb_per_s: 160 uplink_kb_per_s: 800", "unit_kb_per_s: 10000000 uplink_kb_per_s: 0")
         .replace("may_probe: true", "may_probe: false")
+        .replace("most_sessions: 5000", "most_sessions: 50000")
         .replace("from: 0.4 warm_after_ms: 4000", "from: 1 warm_after_ms: 1")
         .replace("care: SAFE\n    seats: 12", "care: SAFE")
         .replace("seconds: 30\ndirectors: 2", "seconds: 30\ndirectors: 1");
@@ -244,17 +254,22 @@
         Fleet::start((0..12).map(spec).collect(), vec![f64::INFINITY], vec![1.0; 4], cold, 1, log.clone());
     let fleet = fleet.await.map_err(|e| e.to_string())?;
     let (_, entries) = play::nodes(&day, &settings);
-    let mut entries: Vec<_> = fleet
+    let entries: Vec<_> = fleet
         .nodes
         .iter()
         .zip(entries)
-        .map(|(node, entry)| ashglade_roster::Entry { address: node.address, ..entry })
+        .map(|(node, entry)| ashglade_roster::Entry { address: node.address, http: Some(node.http), ..entry })
         .collect();
     let folders: Vec<_> = directors.all.iter().map(|(.., f)| f.clone()).collect();
     Lists::new(settings.names.clone(), log.clone(), folders.clone(), entries.clone())
         .write_all()
         .map_err(|e| e.to_string())?;
     directors.start(0, false).await?;
+    Ok(Set { directors, fleet, lists: (folders, entries, settings.names.clone()), log })
+}
+
+pub async fn measure(out: &Path) -> Result<(), String> {
+    let Set { directors, fleet, lists: (folders, mut entries, names), log } = set(out).await?;
     let (_, door, _) = directors.all[0];
     let pid = directors.pid(0).ok_or("the director is gone")?;
 
@@ -297,7 +312,7 @@
     if let Some(entry) = entries.first_mut() {
         (entry.address, entry.standing) = (hose, ashglade_roster::Standing::Ready);
     }
-    Lists::new(settings.names.clone(), log, folders, entries).write_all().map_err(|e| e.to_string())?;
+    Lists::new(names.clone(), log, folders, entries).write_all().map_err(|e| e.to_string())?;
     directors.start(0, false).await?;
     let program = std::env::current_exe().map_err(|e| e.to_string())?;
     let mut copier = tokio::process::Command::new(program)
--- a/crates/lab/tests/days.rs
+++ b/crates/lab/tests/days.rs
@@ -91,6 +91,26 @@
     assert!(share("agent-lesson") > 0.6 && share("premium-clip") > 0.2, "{said}");
 }
 
+#[test]
+fn two_fronts_under_one_bad_day() {
+    let troubles = "
+        trouble { kind: answer_lost at_s: 1 for_s: 3 on: 0 on: 1 }
+        trouble { kind: fast_errors at_s: 1.5 for_s: 3 size: 0.7 on: 3 }
+        trouble { kind: vanish at_s: 2 for_s: 1 on: 6 }
+        trouble { kind: slow at_s: 2 for_s: 3 size: 2.5 on: 7 }
+        trouble { kind: peer_down at_s: 3 for_s: 1 on: 0 }
+    ";
+    let kept = include_str!("../../../days/mixed-day.txtpb");
+    let mut text: String =
+        kept.lines().filter(|line| !line.starts_with("trouble")).map(|line| format!("{line}\n")).collect();
+    for (from, to) in [SLACK, SHORT, BRIEF] {
+        text = text.replace(from, to);
+    }
+    let (held, said) = play(&(text + troubles));
+    assert!(held, "{said}");
+    assert!(!said.contains(" 0 segments of HLS"), "{said}");
+}
+
 #[test]
 fn fragile_sessions_through_each_kind_of_trouble() {
     let folder = tempfile::tempdir().unwrap();
--- a/crates/standin/src/hls.rs
+++ b/crates/standin/src/hls.rs
@@ -9,7 +9,7 @@
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::body::Incoming;
-use hyper::header::{CONTENT_TYPE, HeaderValue};
+use hyper::header::{CONTENT_RANGE, CONTENT_TYPE, HeaderValue, RANGE};
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpListener;
@@ -98,6 +98,14 @@
     pairs.filter_map(|pair| pair.split_once('=')).find(|(key, _)| *key == name).map(|(_, v)| v.to_string())
 }
 
+/// The first and last byte of a range that is within the size; one range alone is known here.
+fn range(request: &Request<Incoming>, size: usize) -> Option<(usize, usize)> {
+    let text = request.headers().get(RANGE)?.to_str().ok()?.strip_prefix("bytes=")?;
+    let (from, to) = text.split_once('-')?;
+    let (from, to) = (from.parse().ok()?, to.parse::<usize>().ok()?.min(size.checked_sub(1)?));
+    (from <= to).then_some((from, to))
+}
+
 fn reply(
     fleet: &Fleet,
     node: &Node,
@@ -138,7 +146,15 @@
             let takes = if share < 1.0 { 1.0 / share } else { QUICK };
             tokio::time::sleep(Duration::from_secs_f64(takes)).await;
             let size = (fleet.rate(0, rung) * 1e3) as usize;
-            reply(&fleet, &node, StatusCode::OK, "video/mp2t", vec![0x47; size])
+            let Some((from, to)) = range(&request, size) else {
+                return reply(&fleet, &node, StatusCode::OK, "video/mp2t", vec![0x47; size]);
+            };
+            let part = vec![0x47; to + 1 - from];
+            let mut reply = reply(&fleet, &node, StatusCode::PARTIAL_CONTENT, "video/mp2t", part)?;
+            if let Ok(value) = HeaderValue::from_str(&format!("bytes {from}-{to}/{size}")) {
+                reply.headers_mut().insert(CONTENT_RANGE, value);
+            }
+            Ok(reply)
         }
         _ => reply(&fleet, &node, StatusCode::NOT_FOUND, "text/plain", "no such thing\n"),
     }
--- a/crates/standin/src/hls_player.rs
+++ b/crates/standin/src/hls_player.rs
@@ -40,8 +40,19 @@
 
     /// Status, retry-after and body of what is at a path.
     pub async fn get(&mut self, path: &str) -> Option<(StatusCode, Option<u64>, Bytes)> {
+        self.get_with(path, None).await
+    }
+
+    /// The same of a range of bytes.
+    pub async fn get_with(
+        &mut self,
+        path: &str,
+        range: Option<&str>,
+    ) -> Option<(StatusCode, Option<u64>, Bytes)> {
         self.sender.ready().await.ok()?;
-        let request = Request::get(path).header("host", self.host.to_string()).body(Empty::new()).ok()?;
+        let request = Request::get(path).header("host", self.host.to_string());
+        let request = range.iter().fold(request, |request, range| request.header("range", *range));
+        let request = request.body(Empty::new()).ok()?;
         let response = self.sender.send_request(request).await.ok()?;
         let after = response.headers().get("retry-after").and_then(|v| v.to_str().ok()?.parse().ok());
         let status = response.status();
