Box lists: several sources, checksums, sudden losses held back, the last one kept

A list cut between two boxes, pushed without half of the fleet or missing at a start took the nodes with it; one of 100,000 boxes took time that grew with its square.

crates/roster/src/watch.rs decides, free of I/O, what is in force of what several files say; drains told by name hold at once, even in a list that is held back. The director reads when notify tells and at each poll, and parses only what differs.

--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -82,7 +82,12 @@
                     settings.group_names.len(),
                     settings.titles.len(),
                     settings.headend.ladder.len(),
-                    boxes.display(),
+                    boxes
+                        .sources
+                        .iter()
+                        .map(|path| path.display().to_string())
+                        .collect::<Vec<_>>()
+                        .join(", "),
                     list.generation,
                     list.entries.len()
                 );
--- a/crates/director/src/lib.rs
+++ b/crates/director/src/lib.rs
@@ -5,6 +5,7 @@
 mod clock;
 mod core;
 mod hls;
+mod lists;
 mod node;
 mod owed;
 mod pool;
@@ -14,4 +15,5 @@
 mod viewer;
 
 pub use clock::Clock;
+pub use lists::Files;
 pub use serve::{Options, Trouble, door_view, load, replay_start, serve};
--- /dev/null
+++ b/crates/director/src/lists.rs
@@ -0,0 +1,178 @@
+//! Box lists as files: read when they change and, where changes are not told, every so often. What that comes to is
+//! decided in `ashglade_roster::watch`; what is in force is written down, for the director that comes after this one.
+
+use std::path::{Path, PathBuf};
+use std::sync::Arc;
+
+use ashglade::time::Span;
+use ashglade_engine::Input;
+use ashglade_roster::List;
+use ashglade_roster::watch::{Found, News, Watch};
+use ashglade_settings::{Names, Settings};
+use notify::Watcher as _;
+use tokio::sync::mpsc;
+use tracing::{info, warn};
+
+use crate::serve::{self, Shared, Trouble};
+
+/// Where lists are read, and where the one in force is kept.
+#[derive(Clone, Debug)]
+pub struct Files {
+    pub sources: Vec<PathBuf>,
+    pub kept: Option<PathBuf>,
+}
+
+impl Files {
+    pub fn new(settings: &Settings, path: &Path) -> Files {
+        Files {
+            sources: settings.box_lists.iter().map(|name| serve::beside(path, name)).collect(),
+            kept: settings.kept_list.as_ref().map(|name| serve::beside(path, name)),
+        }
+    }
+}
+
+/// A file's text, or why there is none.
+type Text = Result<String, String>;
+
+fn text(path: &Path) -> Text {
+    std::fs::read_to_string(path).map_err(|error| format!("{}: {error}", path.display()))
+}
+
+fn read(path: &Path, text: &Text, names: &Names) -> Found {
+    match text.as_ref().map(|text| ashglade_settings::watched_boxes(&path.display().to_string(), text, names))
+    {
+        Ok(Ok((list, leaves_out))) => Found::List { list, leaves_out },
+        Ok(Err(trouble)) => Found::Nothing { why: trouble.to_string() },
+        Err(why) => Found::Nothing { why: why.clone() },
+    }
+}
+
+fn look(path: &Path, names: &Names) -> Found {
+    read(path, &text(path), names)
+}
+
+/// Reads all sources for the first time. Without a list in any, the one that was kept is in force; an error if there is
+/// none either.
+pub fn open(
+    settings: &Settings,
+    files: &Files,
+    now: ashglade::time::Instant,
+) -> Result<(Watch, List), Trouble> {
+    let hold = Span::from_secs(settings.list_hold.as_secs_f64());
+    let mut watch = Watch::new(files.sources.len(), hold);
+    let found: Vec<Found> = files.sources.iter().map(|path| look(path, &settings.names)).collect();
+    let kept = files.kept.as_ref().map(|path| (path, look(path, &settings.names)));
+    if let Some((path, Found::List { list, .. })) = kept {
+        let resumed = watch.resume(list);
+        resumed.map_err(|source| Trouble::List { path: path.clone(), source })?;
+    }
+    let first = found.iter().find_map(|found| match found {
+        Found::Nothing { why } => Some(why.clone()),
+        Found::List { .. } => None,
+    });
+    for (source, found) in found.into_iter().enumerate() {
+        tell(files, &watch.read(source, found, now));
+    }
+    match watch.in_force() {
+        Some(list) => {
+            let list = list.clone();
+            Ok((watch, list))
+        }
+        None => Err(Trouble::NoList(first.unwrap_or_else(|| "every list was refused".into()))),
+    }
+}
+
+/// Says what is new.
+fn tell(files: &Files, news: &[News]) {
+    let path = |source: &usize| files.sources.get(*source).map(|path| path.display().to_string());
+    for news in news {
+        match news {
+            News::InForce(_) => {}
+            News::Refused { source, why } => {
+                warn!(path = path(source), why, "box list left out; the one held stays in force");
+            }
+            News::HeldBack { source, left_out, of, until } => warn!(
+                path = path(source),
+                left_out,
+                of,
+                until_ms = until.as_ms(),
+                "BOX LIST HELD BACK: it leaves out many ready boxes at once; taken if it stays so, or with `leaves_out`"
+            ),
+            News::Taken { source, left_out } => {
+                warn!(path = path(source), left_out, "box list taken, though it leaves out many");
+            }
+            News::Vanished { source, why } => {
+                warn!(path = path(source), why, "box list can't be read; the one held stays in force");
+            }
+            News::Back { source } => info!(path = path(source), "box list can be read again"),
+        }
+    }
+}
+
+/// Writes the list in force down, for a start without any other.
+fn keep(files: &Files, list: Option<&List>, names: &Names) {
+    if let (Some(path), Some(list)) = (&files.kept, list)
+        && let Err(error) = serve::replace(path, &ashglade_settings::write_boxes(list, names))
+    {
+        warn!(path = %path.display(), %error, "the list in force can't be kept");
+    }
+}
+
+/// Follows the sources for as long as the director runs.
+pub async fn follow(shared: Arc<Shared>, files: Files, mut watch: Watch) {
+    let names = shared.settings.names.clone();
+    let (changed, mut changes) = mpsc::channel::<()>(1);
+    // One that waits to be read is as good as many.
+    let watcher = notify::recommended_watcher(move |_| {
+        let _ = changed.try_send(());
+    });
+    let mut watcher =
+        watcher.map_err(|error| warn!(%error, "changes of files aren't told; they are looked for")).ok();
+    for folder in files.sources.iter().filter_map(|path| path.parent()) {
+        let folder = if folder.as_os_str().is_empty() { Path::new(".") } else { folder };
+        // The folder, not the file: a file that is renamed into place is another one.
+        let watched = watcher.as_mut().map(|w| w.watch(folder, notify::RecursiveMode::NonRecursive));
+        if let Some(Err(error)) = watched {
+            warn!(folder = %folder.display(), %error, "changes aren't told; they are looked for");
+        }
+    }
+    // Not its time, which says nothing where a clock or a copy sets it: a file is new if it reads otherwise.
+    let mut last: Vec<Option<Text>> = vec![None; files.sources.len()];
+    keep(&files, watch.in_force(), &names);
+    let mut tick = tokio::time::interval(shared.settings.front.list_poll);
+    tick.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    loop {
+        tokio::select! {
+            _ = tick.tick() => {}
+            Some(()) = changes.recv() => {}
+        }
+        let now = shared.clock.now();
+        let mut news = Vec::new();
+        for (source, path) in files.sources.iter().enumerate() {
+            let (at, names, before) = (path.clone(), names.clone(), last[source].take());
+            // A long list is read and parsed aside from the tasks that carry media.
+            let done = tokio::task::spawn_blocking(move || {
+                let now = text(&at);
+                let found = (before.as_ref() != Some(&now)).then(|| read(&at, &now, &names));
+                (now, found)
+            });
+            let Ok((text, found)) = done.await else { continue };
+            last[source] = Some(text);
+            if let Some(found) = found {
+                news.extend(watch.read(source, found, now));
+            }
+        }
+        if watch.next_due().is_some_and(|due| due <= now) {
+            news.extend(watch.due(now));
+        }
+        tell(&files, &news);
+        let list = news.into_iter().rev().find_map(|news| match news {
+            News::InForce(list) => Some(list),
+            _ => None,
+        });
+        if let Some(list) = list {
+            keep(&files, Some(&list), &names);
+            shared.core.tell(Input::List(list)).await;
+        }
+    }
+}
--- a/crates/director/src/serve.rs
+++ b/crates/director/src/serve.rs
@@ -10,7 +10,7 @@
 use ashglade_ledger::{Ledger, Terms, pages};
 use ashglade_roster::List;
 use ashglade_rtsp::digest::Users;
-use ashglade_settings::{Names, Settings};
+use ashglade_settings::Settings;
 use bytes::Bytes;
 use http_body_util::Empty;
 use hyper_util::client::legacy::Client;
@@ -23,6 +23,7 @@
 
 use crate::clock::Clock;
 use crate::core::{self, Book, Core};
+use crate::lists::{self, Files};
 use crate::pool::Pool;
 use crate::viewer;
 
@@ -63,6 +64,8 @@
     Settings(#[from] ashglade_settings::Trouble),
     #[error("{path}: {source}")]
     List { path: PathBuf, source: ashglade_roster::Refusal },
+    #[error("no box list: {0}")]
+    NoList(String),
     #[error("{path}: {source}")]
     Ledger { path: PathBuf, source: pages::Trouble },
     #[error("listening at {address}: {source}")]
@@ -80,7 +83,7 @@
 }
 
 /// A file that settings name, from the folder of the settings.
-fn beside(settings: &Path, name: &str) -> PathBuf {
+pub(crate) fn beside(settings: &Path, name: &str) -> PathBuf {
     settings.parent().unwrap_or(Path::new(".")).join(name)
 }
 
@@ -95,15 +98,12 @@
     std::fs::read_to_string(path).map_err(|source| Trouble::Read { path: path.to_path_buf(), source })
 }
 
-/// Reads and checks settings and box list; the path of the latter.
-pub fn load(path: &Path) -> Result<(Settings, List, PathBuf), Trouble> {
+/// Reads and checks settings and box lists; the list that would be in force, and where lists are read.
+pub fn load(path: &Path) -> Result<(Settings, List, Files), Trouble> {
     let settings = ashglade_settings::settings(&path.display().to_string(), &read(path)?)?;
-    let boxes = beside(path, &settings.box_list);
-    let list = ashglade_settings::boxes(&boxes.display().to_string(), &read(&boxes)?, &settings.names)?;
-    ashglade_roster::Roster::default()
-        .offer(list.clone())
-        .map_err(|source| Trouble::List { path: boxes.clone(), source })?;
-    Ok((settings, list, boxes))
+    let files = Files::new(&settings, path);
+    let (_, list) = lists::open(&settings, &files, ashglade::time::Instant::default())?;
+    Ok((settings, list, files))
 }
 
 /// Where a director with these settings writes what is to be seen of its door.
@@ -134,7 +134,9 @@
 
 /// Runs a director until it is told to stop: the first SIGTERM or SIGINT drains it, the second ends it.
 pub async fn serve(options: Options) -> Result<(), Trouble> {
-    let (settings, list, boxes) = load(&options.settings)?;
+    let settings =
+        ashglade_settings::settings(&options.settings.display().to_string(), &read(&options.settings)?)?;
+    let files = Files::new(&settings, &options.settings);
     let record = match &options.record {
         Some(path) => {
             let made = std::fs::File::create(path);
@@ -155,6 +157,7 @@
     let mut terms = signal(SignalKind::terminate()).map_err(Trouble::Signals)?;
     let mut interrupts = signal(SignalKind::interrupt()).map_err(Trouble::Signals)?;
     let clock = Clock::start();
+    let (watch, list) = lists::open(&settings, &files, clock.now())?;
     let (core, commands) = Core::new();
     let started = clock.now().as_ms() as u64;
     let shared = Arc::new(Shared {
@@ -175,7 +178,7 @@
     shared.core.tell(Input::List(list.clone())).await;
     let book = book(&settings, &options.settings, clock.now())?;
     tokio::spawn(core::run(shared.clone(), replay_start(&settings), commands, record, book, drained));
-    tokio::spawn(follow(shared.clone(), boxes, settings.names.clone()));
+    tokio::spawn(lists::follow(shared.clone(), files, watch));
     if let Some((hls, listener)) = second {
         info!(address = %hls.listen, "serving HLS");
         tokio::spawn(crate::hls::run(shared.clone(), listener, hls));
@@ -259,28 +262,3 @@
     open.into_iter().for_each(|(key, held)| ledger.inherit(key, held, now));
     Ok(Book { ledger, file: Some(file) })
 }
-
-/// Reads the box list again whenever it has changed. What can't be read, or is refused, leaves the list in force.
-async fn follow(shared: Arc<Shared>, path: PathBuf, names: Names) {
-    let mut last = String::new();
-    let mut tick = tokio::time::interval(shared.settings.front.list_poll);
-    loop {
-        tick.tick().await;
-        let text = match tokio::fs::read_to_string(&path).await {
-            Ok(text) if text != last => text,
-            Ok(_) => continue,
-            Err(error) => {
-                if !last.is_empty() {
-                    warn!(path = %path.display(), %error, "the box list can't be read; the one held stays in force");
-                    last.clear();
-                }
-                continue;
-            }
-        };
-        match ashglade_settings::boxes(&path.display().to_string(), &text, &names) {
-            Ok(list) => shared.core.tell(Input::List(list)).await,
-            Err(trouble) => warn!(%trouble, "box list left out; the one held stays in force"),
-        }
-        last = text;
-    }
-}
--- a/crates/director/tests/stage/mod.rs
+++ b/crates/director/tests/stage/mod.rs
@@ -29,8 +29,8 @@
     pub address: SocketAddr,
     /// Where it serves HLS.
     pub http: SocketAddr,
-    _folder: tempfile::TempDir,
-    _held: [TcpSocket; 2],
+    pub folder: tempfile::TempDir,
+    pub held: [TcpSocket; 2],
 }
 
 /// Nodes that speak RTSP alone.
@@ -47,6 +47,15 @@
     held
 }
 
+/// Two ports that nobody else gets, with their addresses as text.
+#[allow(dead_code)]
+pub fn spare() -> [(TcpSocket, String); 2] {
+    [hold(), hold()].map(|held| {
+        let address = held.local_addr().unwrap().to_string();
+        (held, address)
+    })
+}
+
 /// Nodes by their addresses for RTSP and for HLS.
 pub async fn director_of(nodes: &[(SocketAddr, SocketAddr)]) -> Director {
     let folder = tempfile::tempdir().unwrap();
@@ -70,7 +79,7 @@
     tokio::spawn(async move { ashglade_director::serve(options).await.unwrap() });
     loop {
         if TcpStream::connect(address).await.is_ok() {
-            return Director { address, http, _folder: folder, _held: held };
+            return Director { address, http, folder, held };
         }
         tokio::task::yield_now().await;
     }
--- a/crates/roster/src/lib.rs
+++ b/crates/roster/src/lib.rs
@@ -2,7 +2,9 @@
 //! the one held, contradicts itself or names the same address twice changes nothing. What has been told as
 //! draining or gone stays so until a *newer* list says otherwise. Free of I/O.
 
-use std::collections::BTreeMap;
+pub mod watch;
+
+use std::collections::{BTreeMap, BTreeSet};
 use std::hash::Hasher;
 use std::net::SocketAddr;
 
@@ -115,11 +117,11 @@
             }
         }
         let mut changes = Changes::default();
-        let mut left: Vec<Node> =
+        let mut left: BTreeSet<Node> =
             self.nodes.iter().filter(|(_, e)| e.standing != Standing::Gone).map(|(&node, _)| node).collect();
         for entry in &list.entries {
             let node = entry.node();
-            left.retain(|&other| other != node);
+            left.remove(&node);
             let before = self.nodes.insert(node, entry.clone());
             let was = before.as_ref().map(|b| b.standing);
             changes.new += usize::from(before.is_none());
@@ -171,3 +173,5 @@
 
 #[cfg(test)]
 mod tests;
+#[cfg(test)]
+mod watch_test;
--- a/crates/settings/src/boxes.rs
+++ b/crates/settings/src/boxes.rs
@@ -3,6 +3,7 @@
 use ashglade::ids::{Cell, Model, Zone};
 use ashglade::interface::Place;
 use ashglade::time::Instant;
+use ashglade_roster::watch::checksum;
 use ashglade_roster::{Entry, List, Standing};
 
 use crate::headend::named;
@@ -21,8 +22,22 @@
 
 /// Reads and checks a box list.
 pub fn boxes(file: &str, text: &str, names: &Names) -> Result<List, Trouble> {
+    Ok(watched_boxes(file, text, names)?.0)
+}
+
+/// The same, with how many boxes its writer says that it leaves out on purpose.
+pub fn watched_boxes(file: &str, text: &str, names: &Names) -> Result<(List, Option<usize>), Trouble> {
     let (read, at) = text::read::<schema::Boxes>(crate::SCHEMA, "ashglade.boxes.Boxes", file, text)?;
     let generation = at.need("generation", read.generation)?;
+    if let Some(told) = &read.checksum {
+        let found = checksum(text);
+        if !told.eq_ignore_ascii_case(&found) {
+            return Err(at.trouble(
+                "checksum",
+                format!("says {told}, and the file has {found}: it was cut or changed"),
+            ));
+        }
+    }
     let mut entries = Vec::new();
     for (i, node) in read.r#box.iter().enumerate() {
         let field = |name: &str| format!("box[{i}].{name}");
@@ -56,7 +71,7 @@
         };
         entries.push(Entry { name: named(&at, &field("name"), &node.name)?, address, http, place, standing });
     }
-    Ok(List { generation, entries })
+    Ok((List { generation, entries }, read.leaves_out.map(|n| n as usize)))
 }
 
 /// Writes a list as [`boxes`] reads it.
@@ -83,5 +98,6 @@
             place.weight,
         );
     }
-    text
+    let sum = checksum(&text);
+    text + &format!("checksum: \"{sum}\"\n")
 }
--- a/crates/settings/src/headend.rs
+++ b/crates/settings/src/headend.rs
@@ -95,8 +95,10 @@
     pub front: Front,
     pub door: Option<Door>,
     pub hls: Option<Hls>,
-    /// Path of the box list, as written.
-    pub box_list: String,
+    /// Paths of the box lists, as written; the first goes before the others.
+    pub box_lists: Vec<String>,
+    pub kept_list: Option<String>,
+    pub list_hold: Duration,
 }
 
 impl Settings {
@@ -268,6 +270,14 @@
         Some(door) => Some(self::door(&at, door, &read.group)?),
         None => None,
     };
+    let mut box_lists = vec![named(&at, "box_list", &read.box_list)?];
+    box_lists.extend(read.more_box_list.iter().cloned());
+    distinct(&at, "more_box_list", box_lists.iter().map(String::as_str))?;
+    if read.kept_list.as_ref().is_some_and(|kept| box_lists.contains(kept)) {
+        return Err(at.trouble("kept_list", "is one of the lists that are read"));
+    }
+    let hold = Some(f64::from(read.list_hold_ms.unwrap_or(10_000)));
+    let hold = at.within("list_hold_ms", hold, 0.0, DAY)?;
     let hls = match &read.hls {
         Some(hls) => Some(self::hls(&at, hls)?),
         None => None,
@@ -284,7 +294,9 @@
         front,
         door,
         hls,
-        box_list: named(&at, "box_list", &read.box_list)?,
+        box_lists,
+        kept_list: read.kept_list.clone(),
+        list_hold: Duration::from_secs_f64(hold / 1e3),
         headend,
     })
 }
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -5,7 +5,7 @@
 mod headend;
 pub mod text;
 
-pub use boxes::{Names, boxes, write_boxes};
+pub use boxes::{Names, boxes, watched_boxes, write_boxes};
 pub use headend::{Door, Front, Hls, Settings, Title, settings};
 pub use text::Trouble;
 
