Directors talk: turns at cold nodes of those that are down are used by the others

A director that is down took its part of every cold node's pace with it.

The module is told which turns are ours (Round::turns; without word of them as before), the engine passes Input::Turns on, the shell exchanges signed datagrams among the directors that settings name.

--- a/crates/director/src/lib.rs
+++ b/crates/director/src/lib.rs
@@ -12,6 +12,7 @@
 mod probe;
 mod serve;
 mod session;
+mod talk;
 mod viewer;
 
 pub use clock::Clock;
--- a/crates/director/src/serve.rs
+++ b/crates/director/src/serve.rs
@@ -16,7 +16,7 @@
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::{TokioExecutor, TokioTimer};
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, UdpSocket};
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::{Semaphore, watch};
 use tracing::{info, warn};
@@ -154,6 +154,14 @@
         }
         None => None,
     };
+    let talk = match &settings.talk {
+        Some(talk) => {
+            let address = talk.peers[settings.headend.me];
+            let socket = UdpSocket::bind(address).await;
+            Some((talk.clone(), socket.map_err(|source| Trouble::Listen { address, source })?))
+        }
+        None => None,
+    };
     let mut terms = signal(SignalKind::terminate()).map_err(Trouble::Signals)?;
     let mut interrupts = signal(SignalKind::interrupt()).map_err(Trouble::Signals)?;
     let clock = Clock::start();
@@ -183,6 +191,9 @@
         info!(address = %hls.listen, "serving HLS");
         tokio::spawn(crate::hls::run(shared.clone(), listener, hls));
     }
+    if let Some((talk, socket)) = talk {
+        tokio::spawn(crate::talk::run(shared.clone(), socket, talk));
+    }
     info!(%address, director = settings.headend.me, nodes = list.entries.len(), "serving");
 
     // Beyond the bound viewers wait in the kernel's queue: nothing of theirs has been taken.
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -50,6 +50,7 @@
 /// One piece of news for the module, in its words.
 enum News {
     List,
+    Turns(Vec<usize>, usize),
     Asked(Sess, Viewing),
     Left(Sess),
     Started(Sess, SetupNo, Node),
@@ -228,6 +229,7 @@
                     news.push(News::Probed(node, load.is_some()));
                 }
             }
+            Input::Turns { ours, of } => news.push(News::Turns(ours, of)),
             Input::Drain => self.draining = true,
         }
     }
@@ -467,6 +469,7 @@
 
 fn tell(round: &mut Round, roster: &Roster, news: &News) {
     match *news {
+        News::Turns(ref ours, of) => round.turns(ours, of),
         News::List => {
             round.list_whole();
             for (&node, entry) in roster.nodes() {
--- a/crates/engine/src/words.rs
+++ b/crates/engine/src/words.rs
@@ -89,6 +89,11 @@
         probe: u64,
         load: Option<Load>,
     },
+    /// Which turns at cold nodes are this director's, of so many in all.
+    Turns {
+        ours: Vec<usize>,
+        of: usize,
+    },
     /// Takes nothing new from here on.
     Drain,
 }
--- a/crates/membership/src/tests.rs
+++ b/crates/membership/src/tests.rs
@@ -103,7 +103,8 @@
         for long: [0] [1, 3, 4] [2, 5]
         together again: [0, 3] [1, 4] [2, 5]
         nobody hears anybody: [0] [1] [2]
-    "#]].assert_eq(&told);
+    "#]]
+    .assert_eq(&told);
 }
 
 #[test]
@@ -117,7 +118,8 @@
     expect![[r#"
         nobody hears the second, it hears all: [0, 4, 5] [1] [2, 6] [3, 7]
         it hears nobody, and all hear it: [0, 4] [1] [2, 6] [3, 7]
-    "#]].assert_eq(&told);
+    "#]]
+    .assert_eq(&told);
 }
 
 #[test]
--- a/crates/settings/src/headend.rs
+++ b/crates/settings/src/headend.rs
@@ -49,6 +49,23 @@
     pub ledger: Option<String>,
 }
 
+/// How directors talk to each other.
+#[derive(Clone)]
+pub struct Talk {
+    /// By number, our own among them.
+    pub peers: Vec<SocketAddr>,
+    pub secret: String,
+    pub lease: Duration,
+    pub drift: f64,
+}
+
+impl std::fmt::Debug for Talk {
+    /// Secrets are in no log.
+    fn fmt(&self, f: &mut std::fmt::Formatter) -> std::fmt::Result {
+        write!(f, "Talk({:?})", self.peers)
+    }
+}
+
 /// The second front.
 #[derive(Clone)]
 pub struct Hls {
@@ -95,6 +112,7 @@
     pub front: Front,
     pub door: Option<Door>,
     pub hls: Option<Hls>,
+    pub talk: Option<Talk>,
     /// Paths of the box lists, as written; the first goes before the others.
     pub box_lists: Vec<String>,
     pub kept_list: Option<String>,
@@ -282,6 +300,10 @@
         Some(hls) => Some(self::hls(&at, hls)?),
         None => None,
     };
+    let talk = match &read.talk {
+        Some(talk) => Some(self::talk(&at, talk, directors as usize)?),
+        None => None,
+    };
     let most = limits.most_sessions.map(f64::from);
     Ok(Settings {
         names: Names { zones, models, cells: cells as u16, http: hls.is_some() },
@@ -294,6 +316,7 @@
         front,
         door,
         hls,
+        talk,
         box_lists,
         kept_list: read.kept_list.clone(),
         list_hold: Duration::from_secs_f64(hold / 1e3),
@@ -341,6 +364,32 @@
     Ok((group, Span::from_ms(timeout)))
 }
 
+fn talk(at: &Source, t: &schema::Talk, directors: usize) -> Result<Talk, Trouble> {
+    let mut peers = Vec::new();
+    for (i, peer) in t.peer.iter().enumerate() {
+        let field = format!("talk.peer[{i}]");
+        let address = peer.parse();
+        let address = address
+            .map_err(|_| at.trouble(&field, format!("{peer:?} is no address and port, as 127.0.0.1:7000")))?;
+        if peers.contains(&address) {
+            return Err(at.trouble(&field, format!("{peer:?} is there twice")));
+        }
+        peers.push(address);
+    }
+    if peers.len() != directors {
+        return Err(at.trouble("talk.peer", format!("names {} of {directors} directors", peers.len())));
+    }
+    let secret = named(at, "talk.secret", &t.secret)?;
+    if secret.len() < 16 {
+        return Err(
+            at.trouble("talk.secret", format!("has {} characters; 16 at least are wanted", secret.len()))
+        );
+    }
+    let lease = at.within("talk.lease_ms", t.lease_ms.map(f64::from), 500.0, DAY)?;
+    let drift = at.within("talk.drift", Some(t.drift.unwrap_or(0.01)), 0.0, 0.5)?;
+    Ok(Talk { peers, secret, lease: Duration::from_secs_f64(lease / 1e3), drift })
+}
+
 fn hls(at: &Source, h: &schema::Hls) -> Result<Hls, Trouble> {
     let listen = named(at, "hls.listen", &h.listen)?;
     let listen = listen.parse().map_err(|_| {
--- a/crates/settings/src/tests.rs
+++ b/crates/settings/src/tests.rs
@@ -158,6 +158,37 @@
     .assert_eq(&told);
 }
 
+#[test]
+fn directors_that_talk_name_each_other_once() {
+    let talk =
+        "talk { peer: \"127.0.0.1:1\" peer: \"127.0.0.1:2\" secret: \"0123456789abcdef\" lease_ms: 3000 }\n";
+    let good = GOOD.replace("front {", &format!("{talk}front {{"));
+    assert_eq!(
+        format!("{:?}", settings("h.txtpb", &good).unwrap().talk.unwrap()),
+        "Talk([127.0.0.1:1, 127.0.0.1:2])"
+    );
+    let mut told = String::new();
+    for (from, to) in [
+        ("peer: \"127.0.0.1:2\"", ""),
+        ("127.0.0.1:2", "127.0.0.1:1"),
+        ("127.0.0.1:2", "two"),
+        ("0123456789abcdef", "0123"),
+        ("lease_ms: 3000", "lease_ms: 10"),
+        ("lease_ms: 3000", "lease_ms: 3000 drift: 0.9"),
+    ] {
+        told += &settings("h.txtpb", &good.replacen(from, to, 1))
+            .map_or_else(|e| format!("{e}\n"), |_| "taken\n".into());
+    }
+    expect![[r#"
+        h.txtpb:16: talk.peer: names 1 of 2 directors
+        h.txtpb:16: talk.peer[1]: "127.0.0.1:1" is there twice
+        h.txtpb:16: talk.peer[1]: "two" is no address and port, as 127.0.0.1:7000
+        h.txtpb:16: talk.secret: has 4 characters; 16 at least are wanted
+        h.txtpb:16: talk.lease_ms: is 10; 500 to 86400000 is wanted
+        h.txtpb:16: talk.drift: is 0.9; 0 to 0.5 is wanted
+    "#]].assert_eq(&told);
+}
+
 #[test]
 fn a_box_list_reads_back_as_written_and_errors_name_the_field() {
     let names = settings("h.txtpb", GOOD).unwrap().names;
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -269,7 +269,8 @@
             return true;
         }
         let budget = self.fleet.places[i] * self.plant.fall_budget * warmth * COLD_PART;
-        let (span, ours) = (self.plant.fall_span, budget / self.plant.directors);
+        let (turns, of) = &self.plant.turns;
+        let (span, ours) = (self.plant.fall_span, budget * turns.len() as f64 / of);
         let sent = self.fleet.sent[i].within(self.now, span);
         let pool = ours * self.fleet.ready.iter().filter(|&&ready| ready).count() as f64;
         if ours >= 1.0 || (unvouched && pool >= 1.0) {
@@ -278,11 +279,10 @@
         }
         // Turns follow each other so fast that any span meets one SETUP fewer than the budget; where it
         // holds but one, a turn lasts a span and a pause as long follows. Each node begins elsewhere.
-        let (turns, used) = if budget >= 2.0 { (budget.floor() - 1.0, 1.0) } else { (0.5, 0.5) };
-        let turn = self.now.as_ms() / (span.as_ms().max(1.0) / turns) + (self.fleet.node[i].0 % 4096) as f64;
-        let ours =
-            turn.rem_euclid(self.plant.directors).floor() as usize == self.plant.me && turn.fract() <= used;
-        ours && self.fleet.sent[i].within(self.now, span * (1.0 / turns).min(1.0)) < 1.0
+        let (pace, used) = if budget >= 2.0 { (budget.floor() - 1.0, 1.0) } else { (0.5, 0.5) };
+        let turn = self.now.as_ms() / (span.as_ms().max(1.0) / pace) + (self.fleet.node[i].0 % 4096) as f64;
+        let ours = turns.contains(&(turn.rem_euclid(*of).floor() as usize)) && turn.fract() <= used;
+        ours && self.fleet.sent[i].within(self.now, span * (1.0 / pace).min(1.0)) < 1.0
     }
 
     /// Our own success at node `i`.
@@ -518,6 +518,11 @@
 
 impl Round<'_> {
     /// A whole list begins, as it stands or as it was last held.
+    /// Which turns at cold nodes are ours, of so many in all; until told, one of as many as directors.
+    pub fn turns(&mut self, ours: &[usize], of: usize) {
+        self.d.plant.turns = (ours.to_vec(), of.max(1) as f64);
+    }
+
     pub fn list_whole(&mut self) {
         self.d.follows = true;
         self.d.fleet.named.fill(false);
--- a/src/state.rs
+++ b/src/state.rs
@@ -9,8 +9,9 @@
 /// The figures that decisions use, drawn once from what is read at start.
 pub struct Plant {
     pub zone: Zone,
-    pub me: usize,
     pub directors: f64,
+    /// The turns at cold nodes that are ours, of so many.
+    pub turns: (Vec<usize>, f64),
     pub terms: Vec<Terms>,
     /// What each rung earns.
     pub worth: Vec<f64>,
@@ -64,8 +65,8 @@
         };
         Plant {
             zone: head.zone,
-            me: head.me,
             directors: head.directors.max(1) as f64,
+            turns: (vec![head.me], head.directors.max(1) as f64),
             terms: head.groups.iter().map(terms).collect(),
             worth: head.ladder.iter().map(|&(_, worth)| worth).collect(),
             lowest: ladder.first().map_or(0.0, |&(kb, _)| kb),
