A node that answers 404 is passed over for that title, and not held to be unwell

A 404 counted as a fault of the node for all titles, and left groups that must not be set up twice without a further SETUP.

crates/catalogue keeps what nodes were found not to hold, bounded; the engine tells the module Unsent, spares later SETUPs there, and forgets when the node starts again, a session plays or five minutes have passed.

Twelve fragile sessions before a node without the title: one SETUP there, all twelve play.

--- a/crates/director/src/attempt.rs
+++ b/crates/director/src/attempt.rs
@@ -18,7 +18,25 @@
 use crate::serve::Shared;
 
 /// How a SETUP ended, with the load that the answer told.
-pub type Outcome = Result<(Box<NodeSide>, Option<Load>), (Ending, Option<Load>)>;
+pub type Outcome = Result<(Box<NodeSide>, Option<Load>), (End, Option<Load>)>;
+
+/// How a SETUP came to nothing.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum End {
+    As(Ending),
+    /// The node doesn't hold the title.
+    Missing,
+}
+
+impl End {
+    /// What the engine is told.
+    pub fn input(self, sess: Sess, setup: SetupNo, load: Option<Load>) -> Input {
+        match self {
+            End::As(how) => Input::Ended { sess, setup, how, load },
+            End::Missing => Input::Missing { sess, setup, load },
+        }
+    }
+}
 
 /// A SETUP that is out.
 pub struct Attempt {
@@ -52,7 +70,7 @@
 
     /// Waits for the end; may be dropped and called again.
     pub async fn ended(&mut self) -> Outcome {
-        (&mut self.task).await.unwrap_or(Err((Ending::Lost, None)))
+        (&mut self.task).await.unwrap_or(Err((End::As(Ending::Lost), None)))
     }
 
     /// Gives the SETUP up, by closing its connection, unless it has just ended by itself.
@@ -60,8 +78,8 @@
         self.task.abort();
         match self.task.await {
             Ok(outcome) => outcome,
-            Err(_) if self.written.load(Ordering::SeqCst) => Err((Ending::Cancelled, None)),
-            Err(_) => Err((Ending::Unsent, None)),
+            Err(_) if self.written.load(Ordering::SeqCst) => Err((End::As(Ending::Cancelled), None)),
+            Err(_) => Err((End::As(Ending::Unsent), None)),
         }
     }
 }
@@ -69,15 +87,15 @@
 async fn send(shared: Arc<Shared>, wanted: Wanted, written: Arc<AtomicBool>) -> Outcome {
     let Wanted { sess, setup, node, url, track } = wanted;
     let connection = shared.pool.connect(node, shared.settings.front.connect_timeout).await;
-    let mut connection = connection.map_err(|_| (Ending::Unreachable, None))?;
+    let mut connection = connection.map_err(|_| (End::As(Ending::Unreachable), None))?;
     let mut client = Client::new(url);
     let request = client.setup(track, shared.clock.micros());
     written.store(true, Ordering::SeqCst);
     shared.core.tell(Input::Written { sess, setup }).await;
-    let lost = |_| (Ending::Lost, None);
+    let lost = |_| (End::As(Ending::Lost), None);
     connection.send(Packet::Request(request)).await.map_err(lost)?;
     loop {
-        let packet = connection.next().await.ok_or((Ending::Lost, None))?.map_err(lost)?;
+        let packet = connection.next().await.ok_or((End::As(Ending::Lost), None))?.map_err(lost)?;
         let Packet::Response(response) = packet else { continue };
         let load = load(&response);
         match client.answered(&response) {
@@ -87,9 +105,13 @@
             }
             Answer::Refused(_, StatusCode::NotEnoughBandwidth | StatusCode::ServiceUnavailable) => {
                 shared.pool.put(node, connection);
-                return Err((Ending::Full, load));
+                return Err((End::As(Ending::Full), load));
+            }
+            Answer::Refused(_, StatusCode::NotFound) => {
+                shared.pool.put(node, connection);
+                return Err((End::Missing, load));
             }
-            Answer::Refused(..) => return Err((Ending::Fault, load)),
+            Answer::Refused(..) => return Err((End::As(Ending::Fault), load)),
             Answer::Stray => {}
         }
     }
--- a/crates/director/src/hls/fetch.rs
+++ b/crates/director/src/hls/fetch.rs
@@ -20,10 +20,11 @@
 use tokio::task::JoinHandle;
 use url::Url;
 
+use crate::attempt::End;
 use crate::serve::Shared;
 
 /// How a SETUP ended: with the node's playlist, or not.
-pub type Outcome = Result<(Bytes, Option<Load>), (Ending, Option<Load>)>;
+pub type Outcome = Result<(Bytes, Option<Load>), (End, Option<Load>)>;
 
 pub struct Attempt {
     pub setup: SetupNo,
@@ -51,7 +52,7 @@
     }
 
     pub async fn ended(&mut self) -> Outcome {
-        (&mut self.task).await.unwrap_or(Err((Ending::Lost, None)))
+        (&mut self.task).await.unwrap_or(Err((End::As(Ending::Lost), None)))
     }
 
     /// Gives it up, by closing its connection, unless it has just ended by itself.
@@ -59,8 +60,8 @@
         self.task.abort();
         match self.task.await {
             Ok(outcome) => outcome,
-            Err(_) if self.written.load(Ordering::SeqCst) => Err((Ending::Cancelled, None)),
-            Err(_) => Err((Ending::Unsent, None)),
+            Err(_) if self.written.load(Ordering::SeqCst) => Err((End::As(Ending::Cancelled), None)),
+            Err(_) => Err((End::As(Ending::Unsent), None)),
         }
     }
 }
@@ -90,25 +91,28 @@
 ) -> Outcome {
     let within = shared.settings.front.connect_timeout;
     let connected = tokio::time::timeout(within, TcpStream::connect(node)).await;
-    let Ok(Ok(stream)) = connected else { return Err((Ending::Unreachable, None)) };
+    let Ok(Ok(stream)) = connected else { return Err((End::As(Ending::Unreachable), None)) };
     let _ = stream.set_nodelay(true);
-    let request = request(&url).ok_or((Ending::Unsent, None))?;
+    let request = request(&url).ok_or((End::As(Ending::Unsent), None))?;
     let shake = hyper::client::conn::http1::handshake(TokioIo::new(stream)).await;
-    let (mut sender, connection) = shake.map_err(|_| (Ending::Unreachable, None))?;
+    let (mut sender, connection) = shake.map_err(|_| (End::As(Ending::Unreachable), None))?;
     // Ends with this task: to give the SETUP up closes its connection.
     let driver = tokio::spawn(connection);
     let _abort = AbortOnDrop(driver.abort_handle());
     written.store(true, Ordering::SeqCst);
     shared.core.tell(Input::Written { sess, setup }).await;
-    let response = sender.send_request(request).await.map_err(|_| (Ending::Lost, None))?;
+    let response = sender.send_request(request).await.map_err(|_| (End::As(Ending::Lost), None))?;
     let load = load_of(&response);
     match response.status() {
         StatusCode::OK => {}
-        StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS => return Err((Ending::Full, load)),
-        _ => return Err((Ending::Fault, load)),
+        StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS => {
+            return Err((End::As(Ending::Full), load));
+        }
+        StatusCode::NOT_FOUND => return Err((End::Missing, load)),
+        _ => return Err((End::As(Ending::Fault), load)),
     }
     let body = Limited::new(response.into_body(), MOST_BYTES).collect().await;
-    let bytes = body.map_err(|_| (Ending::Lost, load))?.to_bytes();
+    let bytes = body.map_err(|_| (End::As(Ending::Lost), load))?.to_bytes();
     // One that can't be given to a player is a fault of the node's.
     let folder = folder(&url);
     let place = Place { url: &url, folder: &folder };
@@ -116,7 +120,7 @@
         Ok(_) => Ok((bytes, load)),
         Err(trouble) => {
             tracing::warn!(%node, %trouble, "a multivariant playlist can't be used");
-            Err((Ending::Fault, load))
+            Err((End::As(Ending::Fault), load))
         }
     }
 }
--- a/crates/director/src/hls/session.rs
+++ b/crates/director/src/hls/session.rs
@@ -265,7 +265,7 @@
                 (self.node, self.master) = (Some(node), master);
                 Input::Started { sess, setup, load }
             }
-            Err((how, load)) => Input::Ended { sess, setup, how, load },
+            Err((end, load)) => end.input(sess, setup, load),
         };
         self.front.shared.core.tell(input).await;
     }
@@ -467,7 +467,7 @@
             let setup = attempt.setup;
             let input = match attempt.withdraw().await {
                 Ok((_, load)) => Input::Started { sess, setup, load },
-                Err((how, load)) => Input::Ended { sess, setup, how, load },
+                Err((end, load)) => end.input(sess, setup, load),
             };
             core.tell(input).await;
         }
--- a/crates/director/src/viewer.rs
+++ b/crates/director/src/viewer.rs
@@ -365,7 +365,7 @@
                 live.node = Some(node);
                 Input::Started { sess, setup, load }
             }
-            Err((how, load)) => Input::Ended { sess, setup, how, load },
+            Err((end, load)) => end.input(sess, setup, load),
         };
         self.shared.core.tell(input).await;
     }
@@ -527,7 +527,7 @@
                     live.node = Some(node);
                     Input::Started { sess, setup, load }
                 }
-                Err((how, load)) => Input::Ended { sess, setup, how, load },
+                Err((end, load)) => end.input(sess, setup, load),
             };
             core.tell(input).await;
         }
--- a/crates/director/tests/whole_path.rs
+++ b/crates/director/tests/whole_path.rs
@@ -157,6 +157,24 @@
     address
 }
 
+#[tokio::test]
+async fn a_node_that_answers_404_is_asked_once_for_the_title_and_another_plays_it() {
+    let trace = Trace::default();
+    let without =
+        node(trace.clone(), |_, request| Some(vec![Packet::Response(answer(request, StatusCode::NotFound))]))
+            .await;
+    let with =
+        node(Trace::default(), |_, request| Some(vec![Packet::Response(answer(request, StatusCode::Ok))]))
+            .await;
+    let director = director(&[without, with]).await;
+    // Of a group that must never be set up twice: 404 says that it was not set up at all.
+    for viewer in 0..12 {
+        let mut player = Player::open(director.address, &format!("?viewer={viewer}.0&group=event")).await;
+        assert_eq!(player.status(Method::Setup).await, 200);
+    }
+    assert_eq!(trace.text().matches("SETUP").count(), 1, "{}", trace.text());
+}
+
 #[tokio::test]
 async fn a_session_from_the_door_to_the_node_and_back() {
     let trace = Trace::default();
--- a/crates/engine/src/answers.rs
+++ b/crates/engine/src/answers.rs
@@ -4,7 +4,7 @@
 
 use std::collections::BTreeMap;
 
-use ashglade::ids::{Group, Node, Rung, Sess};
+use ashglade::ids::{Group, Node, Rung, Sess, Title};
 use ashglade::time::Instant;
 use serde::Serialize;
 
@@ -15,6 +15,7 @@
 #[derive(Debug)]
 pub struct Hand {
     pub group: Group,
+    pub title: Title,
     /// The answer must be out by then.
     pub answer_by: Instant,
     pub answered: bool,
@@ -54,6 +55,9 @@
     pub doubled: u64,
     /// SETUPs whose ending the shell never told.
     pub untold: u64,
+    /// SETUPs that nodes answered by not holding the title, and further ones that were spared by it.
+    pub missing: u64,
+    pub spared: u64,
     pub rungs: u64,
     pub probes: u64,
 }
--- a/crates/engine/src/desk.rs
+++ b/crates/engine/src/desk.rs
@@ -3,6 +3,7 @@
 use ashglade::ids::{Node, Rung, Sess, SetupNo, Ticket};
 use ashglade::interface::Writer;
 use ashglade::time::{Instant, Span};
+use ashglade_catalogue::Missing;
 
 use crate::answers::Hands;
 use crate::setups::{Out, Withdrawn};
@@ -18,6 +19,7 @@
     pub probes: &'a mut std::collections::BTreeMap<u64, Node>,
     pub next_probe: &'a mut u64,
     pub probe_timeout: Span,
+    pub missing: &'a Missing,
 }
 
 impl Desk<'_> {
@@ -39,7 +41,13 @@
         let setup = SetupNo(hand.setups);
         hand.setups += 1;
         hand.out = Some(Out::new(setup, node, hand.rung, until));
-        let rung = hand.rung;
+        let (rung, title) = (hand.rung, hand.title);
+        if self.missing.lacks(node, title, self.now) {
+            // As good as told by the node itself, without asking it again.
+            self.hands.tally.spared += 1;
+            self.timers.at(self.now, Timer::Spared(sess, setup));
+            return;
+        }
         self.hands.tally.setups += 1;
         self.timers.at(until, Timer::Setup(sess, setup));
         self.effects.push(Effect::Setup { sess, setup, node, rung, until });
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -6,6 +6,7 @@
 use ashglade::interface::{Ending, Headend, Viewing};
 use ashglade::policy::{Director, Round};
 use ashglade::time::{Instant, Span};
+use ashglade_catalogue::Missing;
 use ashglade_door::{Came, Door, Request, Terms, Verdict};
 use ashglade_roster::{List, Roster, Standing};
 
@@ -29,6 +30,9 @@
     pub door: Option<Terms>,
 }
 
+/// Titles that nodes were found not to hold: so many at most, each believed for so many seconds.
+const MOST_MISSING: usize = 65_536;
+const BELIEVED: f64 = 300.0;
 /// Delivered shares are told once a second.
 const NOTES_EVERY: f64 = 1.0;
 
@@ -37,6 +41,8 @@
     start: Start,
     roster: Roster,
     door: Option<Door>,
+    /// What nodes were found not to hold.
+    missing: Missing,
     hands: Hands,
     timers: Timers,
     notes: Notes,
@@ -71,6 +77,7 @@
             door: start.door.clone().map(|terms| Door::new(terms, now)),
             start,
             roster: Roster::default(),
+            missing: Missing::new(MOST_MISSING, Span::from_secs(BELIEVED)),
             hands: Hands::default(),
             timers,
             notes: Notes::default(),
@@ -119,6 +126,7 @@
             probes: &mut self.probes,
             next_probe: &mut self.next_probe,
             probe_timeout: self.start.probe_timeout,
+            missing: &self.missing,
         };
         let roster = &self.roster;
         self.director.round(now, |round| news.iter().for_each(|n| tell(round, roster, n)), &mut desk);
@@ -198,6 +206,15 @@
                 }
                 self.ended(sess, setup, node, how, news);
             }
+            Input::Missing { sess, setup, load } => {
+                let Some(node) = self.out_mut(sess, setup).map(|out| out.node) else { return };
+                if let Some(title) = self.hands.get(sess).map(|hand| hand.title) {
+                    self.missing.told(node, title, now);
+                }
+                self.hands.tally.missing += 1;
+                news.extend(load.map(|load| News::Load(node, load)));
+                self.not_held(sess, setup, node, news);
+            }
             Input::Over { sess, how } => {
                 let Some((node, setups)) = self.hands.get(sess).and_then(|h| Some((h.plays_at?, h.setups)))
                 else {
@@ -239,6 +256,14 @@
     }
 
     fn list(&mut self, list: List, news: &mut Vec<News>, effects: &mut Vec<Effect>) {
+        // One that starts again may have been filled anew.
+        for entry in &list.entries {
+            let node = entry.node();
+            let known = self.roster.entry(node).map(|before| before.place.started);
+            if known.is_some_and(|before| before != entry.place.started) {
+                self.missing.started(node);
+            }
+        }
         let refused = match self.roster.offer(list) {
             Ok(None) => return,
             Ok(Some(_)) => {
@@ -287,6 +312,7 @@
         let patience = want.setup_timeout - self.start.answer_margin;
         let hand = Hand {
             group: want.group,
+            title: want.title,
             // Half of the margin is for what the last SETUP's ending takes to reach the module.
             answer_by: now + patience + self.start.answer_margin * 0.5,
             answered: false,
@@ -369,6 +395,7 @@
             setups::Start::Plays => {
                 let Some(hand) = self.hands.get_mut(sess) else { return };
                 let rung = hand.rung;
+                self.missing.forget(node, hand.title);
                 (hand.out, hand.plays_at) = (None, Some(node));
                 self.hands.tally.started += 1;
                 news.push(News::Started(sess, setup, node));
@@ -407,6 +434,15 @@
         news.push(News::Ended(sess, setup, node, how, over));
     }
 
+    /// A SETUP came to nothing for want of the title: that it never ran is as sure as if it had not been sent, and it says
+    /// nothing of the node's health.
+    fn not_held(&mut self, sess: Sess, setup: SetupNo, node: Node, news: &mut Vec<News>) {
+        let gave_up =
+            self.out_mut(sess, setup).is_some_and(|out| out.withdrawn == Some(Withdrawn::ViewerLeft));
+        let how = if gave_up { Ending::Cancelled } else { Ending::Unsent };
+        self.ended(sess, setup, node, how, news);
+    }
+
     fn due(&mut self, now: Instant, timer: Timer, news: &mut Vec<News>, effects: &mut Vec<Effect>) {
         match timer {
             // The door is looked at in every round.
@@ -449,12 +485,18 @@
                     }
                 }
             }
+            Timer::Spared(sess, setup) => {
+                if let Some(node) = self.out_mut(sess, setup).map(|out| out.node) {
+                    self.not_held(sess, setup, node, news);
+                }
+            }
             Timer::Probe(probe) => {
                 if let Some(node) = self.probes.remove(&probe) {
                     news.push(News::Probed(node, false));
                 }
             }
             Timer::Notes => {
+                self.missing.tidy(now);
                 news.extend(self.notes.take().map(|(node, share)| News::Delivered(node, share)));
                 self.timers.at(now + Span::from_secs(NOTES_EVERY), Timer::Notes);
             }
--- a/crates/engine/src/tests.rs
+++ b/crates/engine/src/tests.rs
@@ -160,6 +160,51 @@
     Input::Ended { sess: S, setup: SetupNo(setup), how, load: None }
 }
 
+#[test]
+fn a_node_without_the_title_is_passed_over_for_it_by_fragile_groups_too_and_asked_again_after_its_start() {
+    let mut desk = Desk::open(Care::Fragile);
+    desk.ask(1000.0, 1);
+    // Written and all, a 404 proves that nothing ran: the next holder is asked.
+    let first = desk.engine.round(Instant::from_ms(1001.0), vec![written(0)]);
+    assert!(first.is_empty());
+    desk.at(1002.0, vec![Input::Missing { sess: S, setup: SetupNo(0), load: None }]);
+    desk.at(1003.0, vec![written(1), started(1)]);
+    // Whoever comes next and would go to the one without it doesn't, at once and without a SETUP there.
+    for sess in 2..6 {
+        let ms = 1100.0 + sess as f64;
+        desk.ask(ms, sess);
+        desk.until(ms);
+    }
+    let (missing, spared) = (desk.engine.tally().missing, desk.engine.tally().spared);
+    desk.trace += &format!("{missing} answered as missing, {spared} spared\n");
+    // It starts again, as the list tells, and may have been filled.
+    let mut again = list(2, &[Standing::Ready; 3]);
+    if let Input::List(list) = &mut again {
+        list.entries.iter_mut().for_each(|entry| entry.place.started = Some(Instant::from_ms(1200.0)));
+    }
+    desk.at(1200.0, vec![again]);
+    for sess in 6..9 {
+        desk.ask(6000.0 + sess as f64, sess);
+        desk.until(6000.0 + sess as f64);
+    }
+    desk.trace += &format!("{} spared in all\n", desk.engine.tally().spared);
+    desk.shows(expect![[r#"
+        1000 ms: setup 1.0 at n1 rung 1 until 3800
+        1002 ms: setup 1.1 at n3 rung 1 until 3800
+        1003 ms: 1 plays at rung 1
+        1102 ms: setup 2.0 at n2 rung 1 until 3902
+        1103 ms: setup 3.1 at n2 rung 1 until 3903
+        1104 ms: setup 4.1 at n3 rung 1 until 3904
+        1105 ms: setup 5.1 at n2 rung 1 until 3905
+        1 answered as missing, 3 spared
+        1200 ms: list 2 None
+        6006 ms: withdraw 2.0, withdraw 3.1, withdraw 4.1, withdraw 5.1, 2 torn down, 3 torn down, 4 torn down, 5 torn down, setup 6.0 at n1 rung 1 until 8806
+        6007 ms: setup 7.0 at n1 rung 1 until 8807
+        6008 ms: setup 8.0 at n3 rung 1 until 8808
+        3 spared in all
+    "#]]);
+}
+
 #[test]
 fn a_200_after_its_setup_was_given_up_is_torn_down_at_the_node() {
     let mut desk = Desk::open(Care::Safe);
--- a/crates/engine/src/timers.rs
+++ b/crates/engine/src/timers.rs
@@ -15,6 +15,8 @@
     Withdrawn(Sess, SetupNo),
     /// A request must have its answer by now.
     Answer(Sess),
+    /// It goes to a node that doesn't hold the title: never sent.
+    Spared(Sess, SetupNo),
     Probe(u64),
     /// The door is looked at.
     Door,
--- a/crates/engine/src/words.rs
+++ b/crates/engine/src/words.rs
@@ -65,6 +65,12 @@
         how: Ending,
         load: Option<Load>,
     },
+    /// The node doesn't hold the title, and set nothing up. Told in place of an ending.
+    Missing {
+        sess: Sess,
+        setup: SetupNo,
+        load: Option<Load>,
+    },
     /// A session that played is over at its node.
     Over {
         sess: Sess,
