--- a/crates/lab/tests/days.rs
+++ b/crates/lab/tests/days.rs
@@ -74,6 +74,19 @@
     assert!(said.contains("1 starts, "), "{said}");
 }
 
+/// Sessions that played in a day in simulated time.
+fn emulated_plays(text: &str) -> f64 {
+    let folder = tempfile::tempdir().unwrap();
+    let (file, json) = (folder.path().join("day.txtpb"), folder.path().join("report.json"));
+    std::fs::write(&file, text).unwrap();
+    let mut command = Command::new(env!("CARGO_BIN_EXE_ashglade-lab"));
+    let done = command.arg("emulate").arg(&file).arg("--json").arg(&json).output().unwrap();
+    assert!(done.status.success(), "{}", String::from_utf8_lossy(&done.stderr));
+    let report: serde_json::Value = serde_json::from_str(&std::fs::read_to_string(json).unwrap()).unwrap();
+    let groups = report["groups"].as_array().expect("groups");
+    groups.iter().filter_map(|group| group["played"].as_f64()).sum()
+}
+
 #[test]
 fn a_rush_at_the_door_leaves_the_quiet_group_its_service() {
     let rush = include_str!("../../../days/rush.txtpb")
@@ -87,6 +100,12 @@
         let after = said.split(&format!("{group} ")).nth(1).expect("its service");
         after.split(' ').next().and_then(|n| n.parse().ok()).expect("a figure")
     };
+    // The same day in simulated time comes to about the same: sessions that played, of all tries.
+    let emulated = emulated_plays(&rush);
+    let plays =
+        said.split(" requests: ").nth(1).and_then(|rest| rest.split(' ').next()).expect("how many play");
+    let plays: f64 = plays.parse().expect("a number");
+    assert!((emulated - plays).abs() < plays * 0.25, "{emulated} emulated, {plays} on sockets");
     // Agents ask for a seventh of what can be set up; without the door nearly nobody is set up at all.
     assert!(share("agent-lesson") > 0.6 && share("premium-clip") > 0.2, "{said}");
 }
