--- a/src/policy.rs
+++ b/src/policy.rs
@@ -49,8 +49,8 @@
 const MOST_ASKED: f64 = 2.0;
 /// Part of a cold node's allowance that all directors together use.
 const COLD_PART: f64 = 0.8;
-/// A SETUP that isn't the last gets this part of what is left to the start target, and at least so much of the
-/// shortest start target.
+/// A SETUP that isn't the last gets this part of what is left to the start target, and at least so much of
+/// the shortest start target.
 const TRY_PART: f64 = 0.5;
 const TRY_LEAST: f64 = 0.25;
 /// The retry-after of a busy reply, over the longest that can be told.
--- a/src/state.rs
+++ b/src/state.rs
@@ -337,7 +337,7 @@
 }
 
 impl Fleet {
-    /// Takes what the list tells of a node that is ready; its row, if it has started since it was last told of.
+    /// Takes what the list tells of a node that is ready; its row, if it started since it was last told of.
     pub fn enter(&mut self, node: Node, place: Place, plant: &Plant) -> Option<usize> {
         let born = place.started.unwrap_or(Instant::LONG_AGO);
         let next = self.node.len();
