Director: both fronts share one SETUP out, one way to close, one way to ask

The HLS front had written again what RTSP's had: a SETUP that is out and its withdrawal, what its end tells the engine, closing the orders, what a viewer wants. The first is generic over what a front holds of a session; the others are called by both.

The node's multivariant playlist was parsed at the SETUP and once more at the answer; what it names is kept from the first. A count of open segments stood twice.

--- a/crates/director/src/attempt.rs
+++ b/crates/director/src/attempt.rs
@@ -17,8 +17,8 @@
 use crate::node::NodeSide;
 use crate::serve::Shared;
 
-/// How a SETUP ended, with the load that the answer told.
-pub type Outcome = Result<(Box<NodeSide>, Option<Load>), (End, Option<Load>)>;
+/// How a SETUP ended, with the load that the answer told; where the node accepted it, with what the front holds of it.
+pub type Outcome<T> = Result<(T, Option<Load>), (End, Option<Load>)>;
 
 /// How a SETUP came to nothing.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -28,39 +28,44 @@
     Missing,
 }
 
-impl End {
-    /// What the engine is told.
-    pub fn input(self, sess: Sess, setup: SetupNo, load: Option<Load>) -> Input {
-        match self {
-            End::As(how) => Input::Ended { sess, setup, how, load },
-            End::Missing => Input::Missing { sess, setup, load },
-        }
+/// What the engine is told of a SETUP that has ended, and what is held if it started.
+pub fn told<T>(sess: Sess, setup: SetupNo, outcome: Outcome<T>) -> (Input, Option<T>) {
+    match outcome {
+        Ok((held, load)) => (Input::Started { sess, setup, load }, Some(held)),
+        Err((End::As(how), load)) => (Input::Ended { sess, setup, how, load }, None),
+        Err((End::Missing, load)) => (Input::Missing { sess, setup, load }, None),
     }
 }
 
-/// A SETUP that is out.
-pub struct Attempt {
+/// A SETUP that is out, by either front.
+pub struct Attempt<T> {
     pub setup: SetupNo,
-    task: JoinHandle<Outcome>,
+    task: JoinHandle<Outcome<T>>,
     /// Set before the first byte is written.
     written: Arc<AtomicBool>,
 }
 
-/// What is to be set up where.
-pub struct Wanted {
+/// What the task that sends a SETUP says just before it writes the first byte.
+pub struct Begins {
     pub sess: Sess,
     pub setup: SetupNo,
-    pub node: SocketAddr,
-    pub url: Url,
-    /// The track that the viewer begins with.
-    pub track: u8,
+    written: Arc<AtomicBool>,
+}
+
+impl Begins {
+    pub async fn writing(&self, shared: &Shared) {
+        self.written.store(true, Ordering::SeqCst);
+        shared.core.tell(Input::Written { sess: self.sess, setup: self.setup }).await;
+    }
 }
 
-impl Attempt {
-    pub fn start(shared: Arc<Shared>, wanted: Wanted) -> Attempt {
+impl<T: Send + 'static> Attempt<T> {
+    pub fn start<F>(sess: Sess, setup: SetupNo, send: impl FnOnce(Begins) -> F) -> Attempt<T>
+    where
+        F: Future<Output = Outcome<T>> + Send + 'static,
+    {
         let written = Arc::new(AtomicBool::new(false));
-        let setup = wanted.setup;
-        let task = tokio::spawn(send(shared, wanted, written.clone()));
+        let task = tokio::spawn(send(Begins { sess, setup, written: written.clone() }));
         Attempt { setup, task, written }
     }
 
@@ -69,12 +74,12 @@
     }
 
     /// Waits for the end; may be dropped and called again.
-    pub async fn ended(&mut self) -> Outcome {
+    pub async fn ended(&mut self) -> Outcome<T> {
         (&mut self.task).await.unwrap_or(Err((End::As(Ending::Lost), None)))
     }
 
     /// Gives the SETUP up, by closing its connection, unless it has just ended by itself.
-    pub async fn withdraw(self) -> Outcome {
+    pub async fn withdraw(self) -> Outcome<T> {
         self.task.abort();
         match self.task.await {
             Ok(outcome) => outcome,
@@ -84,14 +89,22 @@
     }
 }
 
-async fn send(shared: Arc<Shared>, wanted: Wanted, written: Arc<AtomicBool>) -> Outcome {
-    let Wanted { sess, setup, node, url, track } = wanted;
+/// What is to be set up where, by RTSP.
+pub struct Wanted {
+    pub node: SocketAddr,
+    pub url: Url,
+    /// The track that the viewer begins with.
+    pub track: u8,
+}
+
+/// Sends a SETUP by RTSP.
+pub async fn send(shared: Arc<Shared>, wanted: Wanted, begins: Begins) -> Outcome<Box<NodeSide>> {
+    let Wanted { node, url, track } = wanted;
     let connection = shared.pool.connect(node, shared.settings.front.connect_timeout).await;
     let mut connection = connection.map_err(|_| (End::As(Ending::Unreachable), None))?;
     let mut client = Client::new(url);
     let request = client.setup(track, shared.clock.micros());
-    written.store(true, Ordering::SeqCst);
-    shared.core.tell(Input::Written { sess, setup }).await;
+    begins.writing(&shared).await;
     let lost = |_| (End::As(Ending::Lost), None);
     connection.send(Packet::Request(request)).await.map_err(lost)?;
     loop {
@@ -119,6 +132,10 @@
 
 /// The load that an answer tells, in the engine's words.
 pub fn load(response: &Response) -> Option<Load> {
-    let told = messages::load_of(response)?;
-    Some(Load { link: told.link, uplink: told.uplink, streams: told.streams })
+    messages::load_of(response).map(in_our_words)
+}
+
+/// A load as nodes tell it, in the engine's words.
+pub fn in_our_words(told: ashglade_rtsp::load::Load) -> Load {
+    Load { link: told.link, uplink: told.uplink, streams: told.streams }
 }
--- a/crates/director/src/core.rs
+++ b/crates/director/src/core.rs
@@ -123,6 +123,17 @@
     }
 }
 
+/// The session's task needs no more orders. A SETUP that was ordered and not yet begun never ran.
+pub async fn close(core: &Core, sess: Sess, orders: &mut mpsc::Receiver<Order>) {
+    orders.close();
+    while let Ok(order) = orders.try_recv() {
+        if let Order::Setup { setup, .. } = order {
+            core.tell(Input::Ended { sess, setup, how: Ending::Unsent, load: None }).await;
+        }
+    }
+    core.send(Command::Close(sess)).await;
+}
+
 struct Loop {
     engine: Engine,
     shared: Arc<Shared>,
--- a/crates/director/src/hls/fetch.rs
+++ b/crates/director/src/hls/fetch.rs
@@ -3,11 +3,10 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
 
-use ashglade::ids::{Sess, SetupNo};
 use ashglade::interface::Ending;
-use ashglade_engine::{Input, Load};
+use ashglade_engine::Load;
+use ashglade_hls::Variant;
 use ashglade_hls::playlist::{self, MOST_BYTES, Place};
 use ashglade_rtsp::load;
 use bytes::Bytes;
@@ -17,59 +16,23 @@
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
-use tokio::task::JoinHandle;
 use url::Url;
 
-use crate::attempt::End;
+use crate::attempt::{Begins, End, Outcome, in_our_words};
 use crate::serve::Shared;
 
-/// How a SETUP ended: with the node's playlist, or not.
-pub type Outcome = Result<(Bytes, Option<Load>), (End, Option<Load>)>;
-
-pub struct Attempt {
-    pub setup: SetupNo,
-    /// Where it serves HLS, and the address by which lists know it.
+/// A session that its node has accepted.
+pub struct Accepted {
+    /// Where the node serves HLS, and the address by which lists know it.
     pub node: (SocketAddr, SocketAddr),
-    task: JoinHandle<Outcome>,
-    written: Arc<AtomicBool>,
-}
-
-impl Attempt {
-    pub fn start(
-        shared: Arc<Shared>,
-        sess: Sess,
-        setup: SetupNo,
-        node: (SocketAddr, SocketAddr),
-        url: Url,
-    ) -> Attempt {
-        let written = Arc::new(AtomicBool::new(false));
-        let task = tokio::spawn(send(shared, sess, setup, node.0, url, written.clone()));
-        Attempt { setup, node, task, written }
-    }
-
-    pub fn written(&self) -> bool {
-        self.written.load(Ordering::SeqCst)
-    }
-
-    pub async fn ended(&mut self) -> Outcome {
-        (&mut self.task).await.unwrap_or(Err((End::As(Ending::Lost), None)))
-    }
-
-    /// Gives it up, by closing its connection, unless it has just ended by itself.
-    pub async fn withdraw(self) -> Outcome {
-        self.task.abort();
-        match self.task.await {
-            Ok(outcome) => outcome,
-            Err(_) if self.written.load(Ordering::SeqCst) => Err((End::As(Ending::Cancelled), None)),
-            Err(_) => Err((End::As(Ending::Unsent), None)),
-        }
-    }
+    /// Its multivariant playlist, and what that names.
+    pub master: Bytes,
+    pub variants: Vec<Variant>,
 }
 
 /// The load that an answer tells.
 pub fn load_of<B>(response: &Response<B>) -> Option<Load> {
-    let told = load::Load::read(response.headers().get("x-load")?.to_str().ok()?);
-    Some(Load { link: told.link, uplink: told.uplink, streams: told.streams })
+    Some(in_our_words(load::Load::read(response.headers().get("x-load")?.to_str().ok()?)))
 }
 
 fn request(url: &Url) -> Option<Request<Empty<Bytes>>> {
@@ -81,16 +44,15 @@
     Request::get(path).header("host", host).body(Empty::new()).ok()
 }
 
-async fn send(
+/// Sends a SETUP by HTTP.
+pub async fn send(
     shared: Arc<Shared>,
-    sess: Sess,
-    setup: SetupNo,
-    node: SocketAddr,
+    node: (SocketAddr, SocketAddr),
     url: Url,
-    written: Arc<AtomicBool>,
-) -> Outcome {
+    begins: Begins,
+) -> Outcome<Accepted> {
     let within = shared.settings.front.connect_timeout;
-    let connected = tokio::time::timeout(within, TcpStream::connect(node)).await;
+    let connected = tokio::time::timeout(within, TcpStream::connect(node.0)).await;
     let Ok(Ok(stream)) = connected else { return Err((End::As(Ending::Unreachable), None)) };
     let _ = stream.set_nodelay(true);
     let request = request(&url).ok_or((End::As(Ending::Unsent), None))?;
@@ -99,8 +61,7 @@
     // Ends with this task: to give the SETUP up closes its connection.
     let driver = tokio::spawn(connection);
     let _abort = AbortOnDrop(driver.abort_handle());
-    written.store(true, Ordering::SeqCst);
-    shared.core.tell(Input::Written { sess, setup }).await;
+    begins.writing(&shared).await;
     let response = sender.send_request(request).await.map_err(|_| (End::As(Ending::Lost), None))?;
     let load = load_of(&response);
     match response.status() {
@@ -112,14 +73,14 @@
         _ => return Err((End::As(Ending::Fault), load)),
     }
     let body = Limited::new(response.into_body(), MOST_BYTES).collect().await;
-    let bytes = body.map_err(|_| (End::As(Ending::Lost), load))?.to_bytes();
+    let master = body.map_err(|_| (End::As(Ending::Lost), load))?.to_bytes();
     // One that can't be given to a player is a fault of the node's.
     let folder = folder(&url);
     let place = Place { url: &url, folder: &folder };
-    match playlist::master(&bytes, &place, f64::INFINITY, &|_, path| path.to_string()) {
-        Ok(_) => Ok((bytes, load)),
+    match playlist::master(&master, &place, f64::INFINITY, &|_, path| path.to_string()) {
+        Ok(read) => Ok((Accepted { node, master, variants: read.variants }, load)),
         Err(trouble) => {
-            tracing::warn!(%node, %trouble, "a multivariant playlist can't be used");
+            tracing::warn!(node = %node.0, %trouble, "a multivariant playlist can't be used");
             Err((End::As(Ending::Fault), load))
         }
     }
--- a/crates/director/src/hls/mod.rs
+++ b/crates/director/src/hls/mod.rs
@@ -10,8 +10,8 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
-use ashglade::ids::{Rung, Sess, Title};
-use ashglade_engine::{Input, Want};
+use ashglade::ids::{Sess, Title};
+use ashglade_engine::Input;
 use ashglade_hls::{Ask, Forged, Key, Keys, Token};
 use ashglade_settings::Hls;
 use bytes::Bytes;
@@ -226,24 +226,11 @@
             return Err(plain(StatusCode::NOT_FOUND, "there is no such service group"));
         };
         let top = match element("top").map(|top| top.parse::<u8>()) {
-            None => settings.top_rung(),
-            Some(Ok(top)) => top.min(settings.top_rung()),
+            None => u8::MAX,
+            Some(Ok(top)) => top,
             Some(Err(_)) => return Err(plain(StatusCode::BAD_REQUEST, "top: a rung's number is wanted")),
         };
-        let named = |name: Option<&str>| name.and_then(element);
-        let door = settings.door.as_ref();
-        let client = named(door.and_then(|door| door.client_query.as_deref()));
-        let tenant = named(door.and_then(|door| door.tenant_query.as_deref()));
-        let want = Want {
-            group,
-            title: Title(known.id),
-            top: Rung(top),
-            home: known.home,
-            copies: known.copies,
-            setup_timeout: settings.setup_timeouts[group.0],
-            tenant: settings.tenant(tenant.as_deref()),
-            client: crate::viewer::hashed(client.as_deref().unwrap_or(peer)),
-        };
+        let want = self.shared.want(known, group, top, element, || peer.to_string());
         let sess = self.shared.new_sess();
         let (orders, receiver) = mpsc::channel(ORDERS);
         let (jobs, waiting) = mpsc::channel(JOBS);
--- a/crates/director/src/hls/session.rs
+++ b/crates/director/src/hls/session.rs
@@ -11,7 +11,6 @@
 use ashglade_engine::{Answer, Input, Want};
 use ashglade_hls::playlist::{self, Place};
 use ashglade_hls::{Ask, Session, Step, Token};
-use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::header::{ACCEPT_RANGES, CONTENT_LENGTH, CONTENT_RANGE, CONTENT_TYPE};
 use hyper::{Response, StatusCode};
@@ -19,10 +18,11 @@
 use tracing::{info, warn};
 use url::Url;
 
-use super::fetch::{self, Attempt, Lost, Outcome};
+use super::fetch::{self, Accepted, Lost};
 use super::relay::{Relay, Relayed};
 use super::{Front, Job, Reply, busy, plain};
-use crate::core::{Command, ORDERS, Order};
+use crate::attempt::{self, Attempt, Outcome};
+use crate::core::{self, Command, ORDERS, Order};
 
 /// What a session begins with.
 pub struct Start {
@@ -55,22 +55,19 @@
     sess: Sess,
     orders: mpsc::Receiver<Order>,
     state: Session,
-    attempt: Option<Attempt>,
-    /// Where its node serves HLS, and the address by which lists know it.
-    node: Option<(SocketAddr, SocketAddr)>,
-    /// The node's multivariant playlist.
-    master: Bytes,
+    attempt: Option<Attempt<Accepted>>,
+    /// Where it is set up.
+    held: Option<Accepted>,
     waiting: Vec<Job>,
     kept: BTreeMap<Ask, (Instant, bool, String)>,
     target: f64,
-    open: usize,
     done: mpsc::Sender<Relayed>,
 }
 
 enum Event {
     Order(Option<Order>),
     Job(Option<Job>),
-    Setup(Outcome),
+    Setup(Outcome<Accepted>),
     Relayed(Relayed),
     Quiet,
     /// The player closed its connection before it was answered.
@@ -94,12 +91,10 @@
         orders: start.orders,
         state: Session::new(now),
         attempt: None,
-        node: None,
-        master: Bytes::new(),
+        held: None,
         waiting: vec![first],
         kept: BTreeMap::new(),
         target: 0.0,
-        open: 0,
         done,
     };
     while !live.state.is_over() {
@@ -160,14 +155,14 @@
             Event::Order(None) | Event::Job(None) => self.state.over(),
             Event::Setup(outcome) => {
                 if let Some(attempt) = self.attempt.take() {
-                    self.tell(attempt.setup, attempt.node, outcome).await;
+                    self.tell(attempt.setup, outcome).await;
                 }
             }
             Event::Relayed(relayed) => self.relayed(relayed).await,
             Event::GaveUp => {
                 self.waiting.remove(0);
                 // A session that plays goes on without the answer to one request.
-                if self.waiting.is_empty() && self.node.is_none() {
+                if self.waiting.is_empty() && self.held.is_none() {
                     self.state.over();
                 }
             }
@@ -192,7 +187,8 @@
                 let url = http.and_then(|http| self.master_url(http, rung));
                 match (http, url) {
                     (Some(http), Some(url)) => {
-                        self.attempt = Some(Attempt::start(shared, self.sess, setup, (http, address), url));
+                        let send = |begins| fetch::send(shared, (http, address), url, begins);
+                        self.attempt = Some(Attempt::start(self.sess, setup, send));
                     }
                     _ => {
                         let input = Input::Ended { sess: self.sess, setup, how: Ending::Unsent, load: None };
@@ -201,11 +197,10 @@
                 }
             }
             Order::Withdraw { setup, if_unsent } => {
-                let matches = |a: &mut Attempt| a.setup == setup && !(if_unsent && a.written());
+                let matches = |a: &mut Attempt<_>| a.setup == setup && !(if_unsent && a.written());
                 if let Some(attempt) = self.attempt.take_if(matches) {
-                    let node = attempt.node;
                     let outcome = attempt.withdraw().await;
-                    self.tell(setup, node, outcome).await;
+                    self.tell(setup, outcome).await;
                 }
             }
             Order::Answer(Answer::Plays { rung }) => self.plays(rung).await,
@@ -224,7 +219,7 @@
                 self.kept.clear();
             }
             // Whatever the node held ends by its own quiet: HTTP has no word for it.
-            Order::Release => self.node = None,
+            Order::Release => self.held = None,
         }
     }
 
@@ -239,34 +234,19 @@
         let now = self.front.shared.clock.now();
         info!(sess = self.sess.0, title = self.title, rung = rung.0, "plays by HLS");
         self.state.plays(self.rate(rung), now);
-        let url = self.node.and_then(|(http, _)| self.master_url(http, rung));
-        let Some(url) = url else { return self.state.over() };
-        let folder = fetch::folder(&url);
-        let place = Place { url: &url, folder: &folder };
-        match playlist::master(&self.master, &place, f64::INFINITY, &|_, path| path.to_string()) {
-            // A player whose URIs would mean something else begins anew.
-            Ok(master) if !self.state.has(master.variants.clone()) => {
-                return self.refuse(|| plain(StatusCode::GONE, "the title has changed; begin anew"));
-            }
-            Ok(_) => {}
-            Err(_) => {
-                return self.refuse(|| plain(StatusCode::BAD_GATEWAY, "the node's playlist can't be used"));
-            }
+        let Some(held) = &mut self.held else { return self.state.over() };
+        // A player whose URIs would mean something else begins anew.
+        if !self.state.has(std::mem::take(&mut held.variants)) {
+            return self.refuse(|| plain(StatusCode::GONE, "the title has changed; begin anew"));
         }
         for job in std::mem::take(&mut self.waiting) {
             Box::pin(self.job(job)).await;
         }
     }
 
-    async fn tell(&mut self, setup: SetupNo, node: (SocketAddr, SocketAddr), outcome: Outcome) {
-        let sess = self.sess;
-        let input = match outcome {
-            Ok((master, load)) => {
-                (self.node, self.master) = (Some(node), master);
-                Input::Started { sess, setup, load }
-            }
-            Err((end, load)) => end.input(sess, setup, load),
-        };
+    async fn tell(&mut self, setup: SetupNo, outcome: Outcome<Accepted>) {
+        let (input, held) = attempt::told(self.sess, setup, outcome);
+        self.held = held.or(self.held.take());
         self.front.shared.core.tell(input).await;
     }
 
@@ -280,7 +260,7 @@
     }
 
     fn url(&self, path: &str) -> Option<Url> {
-        Url::parse(&format!("http://{}/{}/{path}", self.node?.0, self.title)).ok()
+        Url::parse(&format!("http://{}/{}/{path}", self.held.as_ref()?.node.0, self.title)).ok()
     }
 
     async fn job(&mut self, job: Job) {
@@ -320,12 +300,13 @@
     }
 
     fn master(&mut self, job: Job) {
-        let Some(url) = self.node.and_then(|(http, _)| self.master_url(http, Rung(0))) else { return };
+        let Some(held) = &self.held else { return };
+        let Some(url) = self.master_url(held.node.0, Rung(0)) else { return };
         let folder = fetch::folder(&url);
         let place = Place { url: &url, folder: &folder };
         let give =
             |ask: Ask, path: &str| self.front.give(&self.title, &self.signed, self.token.sess, ask, path);
-        let reply = match playlist::master(&self.master, &place, self.state.most(), &give) {
+        let reply = match playlist::master(&held.master, &place, self.state.most(), &give) {
             Ok(master) => super::playlist(master.text),
             Err(_) => plain(StatusCode::BAD_GATEWAY, "the node's playlist can't be used"),
         };
@@ -356,8 +337,8 @@
                 return Box::pin(self.job(job)).await;
             }
         };
-        if let (Some(load), Some((_, address))) = (load, self.node) {
-            let node = ashglade_roster::id_of(&address);
+        if let (Some(load), Some(held)) = (load, &self.held) {
+            let node = ashglade_roster::id_of(&held.node.1);
             shared.core.tell(Input::Load { node, load }).await;
         }
         if status != StatusCode::OK {
@@ -365,7 +346,7 @@
             let _ = job.reply.send(plain(status, "the node doesn't give this playlist"));
             return;
         }
-        let folder = format!("/{}/", self.title);
+        let folder = fetch::folder(&url);
         let place = Place { url: &url, folder: &folder };
         let give = |path: &str| {
             self.front.give(&self.title, &self.signed, self.token.sess, Ask::Part(variant), path)
@@ -389,11 +370,10 @@
     /// A segment, or anything else that is passed on as it is.
     fn part(&mut self, job: Job, variant: Option<usize>) {
         let shared = self.front.shared.clone();
-        let Some(url) = self.url(&job.path).filter(|_| self.open < MOST_OPEN) else {
+        let Some(url) = self.url(&job.path).filter(|_| self.state.open() < MOST_OPEN) else {
             let _ = job.reply.send(busy("too many segments at once", Some(1.0)));
             return;
         };
-        self.open += 1;
         self.state.begins();
         let done = self.done.clone();
         tokio::spawn(async move {
@@ -423,7 +403,6 @@
 
     async fn relayed(&mut self, relayed: Relayed) {
         let shared = self.front.shared.clone();
-        self.open = self.open.saturating_sub(1);
         self.state.done(shared.clock.now());
         if relayed.broken {
             return self.lost(Lost::Node).await;
@@ -447,7 +426,7 @@
         info!(sess = self.sess.0, ?how, "broken");
         shared.core.tell(Input::Over { sess: self.sess, how }).await;
         shared.core.send(Command::Close(self.sess)).await;
-        self.node = None;
+        self.held = None;
         self.kept.clear();
         let care = shared.settings.headend.groups.get(self.want.group.0).map(|group| group.care);
         if care != Some(Care::Safe) {
@@ -465,18 +444,9 @@
         core.tell(Input::Left { sess }).await;
         if let Some(attempt) = self.attempt.take() {
             let setup = attempt.setup;
-            let input = match attempt.withdraw().await {
-                Ok((_, load)) => Input::Started { sess, setup, load },
-                Err((end, load)) => end.input(sess, setup, load),
-            };
+            let (input, _) = attempt::told(sess, setup, attempt.withdraw().await);
             core.tell(input).await;
         }
-        self.orders.close();
-        while let Ok(order) = self.orders.try_recv() {
-            if let Order::Setup { setup, .. } = order {
-                core.tell(Input::Ended { sess, setup, how: Ending::Unsent, load: None }).await;
-            }
-        }
-        core.send(Command::Close(sess)).await;
+        core::close(&core, sess, &mut self.orders).await;
     }
 }
--- a/crates/director/src/serve.rs
+++ b/crates/director/src/serve.rs
@@ -1,21 +1,23 @@
 //! Starting, listening, following the box list, stopping.
 
+use std::hash::{Hash, Hasher};
 use std::path::{Path, PathBuf};
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 
-use ashglade::ids::Sess;
+use ashglade::ids::{Group, Rung, Sess};
 use ashglade::time::Span;
-use ashglade_engine::{DoorTerms, Input, Start};
+use ashglade_engine::{DoorTerms, Input, Start, Want};
 use ashglade_ledger::{Ledger, Terms, pages};
 use ashglade_roster::List;
 use ashglade_rtsp::digest::Users;
-use ashglade_settings::Settings;
+use ashglade_settings::{Settings, Title};
 use bytes::Bytes;
 use http_body_util::Empty;
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::{TokioExecutor, TokioTimer};
+use siphasher::sip::SipHasher13;
 use tokio::net::{TcpListener, UdpSocket};
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::{Semaphore, watch};
@@ -50,6 +52,34 @@
         Sess(self.next_sess.fetch_add(1, Ordering::Relaxed))
     }
 
+    /// What a viewer asks for, by either front. Clients and tenants are told by the query elements that settings name;
+    /// who names no client is its address.
+    pub fn want(
+        &self,
+        title: &Title,
+        group: Group,
+        top: u8,
+        element: impl Fn(&str) -> Option<String>,
+        peer: impl FnOnce() -> String,
+    ) -> Want {
+        let settings = &self.settings;
+        let door = settings.door.as_ref();
+        let client = door.and_then(|door| door.client_query.as_deref()).and_then(&element);
+        let tenant = door.and_then(|door| door.tenant_query.as_deref()).and_then(&element);
+        let mut hasher = SipHasher13::new();
+        client.unwrap_or_else(peer).hash(&mut hasher);
+        Want {
+            group,
+            title: ashglade::ids::Title(title.id),
+            top: Rung(top.min(settings.top_rung())),
+            home: title.home,
+            copies: title.copies,
+            setup_timeout: settings.setup_timeouts[group.0],
+            tenant: settings.tenant(tenant.as_deref()),
+            client: hasher.finish(),
+        }
+    }
+
     /// For names of sessions and SSRCs, which only have to differ.
     pub fn random(&self) -> u64 {
         self.random.lock().unwrap_or_else(|broken| broken.into_inner()).rand_u64()
--- a/crates/director/src/session.rs
+++ b/crates/director/src/session.rs
@@ -17,7 +17,7 @@
     pub sess: Sess,
     pub asked: Asked,
     pub orders: mpsc::Receiver<Order>,
-    pub attempt: Option<Attempt>,
+    pub attempt: Option<Attempt<Box<NodeSide>>>,
     pub node: Option<Box<NodeSide>>,
     /// The rung that the engine wants, and the one that the node was told.
     pub rung: u8,
--- a/crates/director/src/viewer.rs
+++ b/crates/director/src/viewer.rs
@@ -2,13 +2,12 @@
 //! frames to the viewer. What a slow viewer doesn't take isn't read from its node.
 
 use std::collections::VecDeque;
-use std::hash::{Hash, Hasher};
 use std::sync::Arc;
 use std::time::Duration;
 
-use ashglade::ids::{Rung, SetupNo, Title};
+use ashglade::ids::{Rung, SetupNo};
 use ashglade::interface::Ending;
-use ashglade_engine::{Answer, Input, Want};
+use ashglade_engine::{Answer, Input};
 use ashglade_rtsp::client::{self, Purpose};
 use ashglade_rtsp::codec::FRAME_HEADER;
 use ashglade_rtsp::presentation::Asked;
@@ -17,7 +16,6 @@
 use bytes::BytesMut;
 use futures_util::{SinkExt, StreamExt};
 use rtsp_types::{Method, StatusCode, Url, headers};
-use siphasher::sip::SipHasher13;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 use tokio::sync::{mpsc, watch};
@@ -26,7 +24,8 @@
 use tracing::{debug, info};
 
 use crate::attempt::{self, Attempt, Outcome, Wanted};
-use crate::core::{Command, ORDERS, Order};
+use crate::core::{self, Command, ORDERS, Order};
+use crate::node::NodeSide;
 use crate::serve::Shared;
 use crate::session::{Frame, Live};
 
@@ -58,19 +57,12 @@
 enum Event {
     Viewer(Option<Result<Packet, Fault>>),
     Node(Option<Result<Packet, Fault>>),
-    Setup(Outcome),
+    Setup(Outcome<Box<NodeSide>>),
     Order(Option<Order>),
     Draining,
     Tick,
 }
 
-/// A client's number, by its name or its address.
-pub fn hashed(name: &str) -> u64 {
-    let mut hasher = SipHasher13::new();
-    name.hash(&mut hasher);
-    hasher.finish()
-}
-
 pub async fn run(shared: Arc<Shared>, stream: TcpStream) {
     let front = &shared.settings.front;
     let mut server = Server::new(front.session_timeout.as_secs() as u32, &front.clock_rates);
@@ -230,19 +222,11 @@
             let response = self.server.turned_away(StatusCode::NotFound, None);
             return self.reply(response).await;
         };
-        let name = settings.door.as_ref().and_then(|door| door.tenant_query.as_deref());
-        let tenant = name.and_then(|name| asked.element(name));
         let sess = shared.new_sess();
-        let want = Want {
-            group,
-            title: Title(title.id),
-            top: Rung(asked.top.unwrap_or(u8::MAX).min(settings.top_rung())),
-            home: title.home,
-            copies: title.copies,
-            setup_timeout: settings.setup_timeouts[group.0],
-            tenant: settings.tenant(tenant),
-            client: self.client(&asked),
-        };
+        let top = asked.top.unwrap_or(u8::MAX);
+        let peer = || self.connection.get_ref().peer_addr().map(|peer| peer.ip().to_string());
+        let element = |name: &str| asked.element(name).map(|value| value.to_string());
+        let want = shared.want(title, group, top, element, || peer().unwrap_or_default());
         let (sender, orders) = mpsc::channel(ORDERS);
         let input = Input::Asked { sess, want };
         shared.core.send(Command::Open { input, sess, orders: sender }).await;
@@ -250,15 +234,6 @@
         Ok(())
     }
 
-    /// Who asks, as the door tells clients apart: by the query element that settings name, else by address.
-    fn client(&self, asked: &Asked) -> u64 {
-        let name = self.shared.settings.door.as_ref().and_then(|door| door.client_query.as_deref());
-        let peer = || self.connection.get_ref().peer_addr().map(|peer| peer.ip().to_string());
-        let named = name.and_then(|name| asked.element(name));
-        let name = named.map(|name| name.to_string());
-        hashed(&name.unwrap_or_else(|| peer().unwrap_or_default()))
-    }
-
     async fn order(&mut self, order: Order) -> Result<(), Closed> {
         let shared = self.shared.clone();
         let Some(live) = &mut self.live else { return Ok(()) };
@@ -269,8 +244,9 @@
                 match live.asked.rendition(address, rung.0) {
                     Some(url) => {
                         let track = self.server.track();
-                        let wanted = Wanted { sess, setup, node: address, url, track };
-                        live.attempt = Some(Attempt::start(shared, wanted));
+                        let wanted = Wanted { node: address, url, track };
+                        let send = |begins| attempt::send(shared, wanted, begins);
+                        live.attempt = Some(Attempt::start(sess, setup, send));
                     }
                     None => {
                         shared.core.tell(Input::Ended { sess, setup, how: Ending::Unsent, load: None }).await;
@@ -279,7 +255,7 @@
                 Ok(())
             }
             Order::Withdraw { setup, if_unsent } => {
-                let matches = |a: &mut Attempt| a.setup == setup && !(if_unsent && a.written());
+                let matches = |a: &mut Attempt<_>| a.setup == setup && !(if_unsent && a.written());
                 if let Some(attempt) = live.attempt.take_if(matches) {
                     let outcome = attempt.withdraw().await;
                     self.tell_outcome(setup, outcome).await;
@@ -350,23 +326,17 @@
         }
     }
 
-    async fn setup_ended(&mut self, outcome: Outcome) {
+    async fn setup_ended(&mut self, outcome: Outcome<Box<NodeSide>>) {
         let attempt = self.live.as_mut().and_then(|live| live.attempt.take());
         if let Some(attempt) = attempt {
             self.tell_outcome(attempt.setup, outcome).await;
         }
     }
 
-    async fn tell_outcome(&mut self, setup: SetupNo, outcome: Outcome) {
+    async fn tell_outcome(&mut self, setup: SetupNo, outcome: Outcome<Box<NodeSide>>) {
         let Some(live) = &mut self.live else { return };
-        let sess = live.sess;
-        let input = match outcome {
-            Ok((node, load)) => {
-                live.node = Some(node);
-                Input::Started { sess, setup, load }
-            }
-            Err((end, load)) => end.input(sess, setup, load),
-        };
+        let (input, node) = attempt::told(live.sess, setup, outcome);
+        live.node = node.or(live.node.take());
         self.shared.core.tell(input).await;
     }
 
@@ -522,26 +492,14 @@
         core.tell(Input::Left { sess }).await;
         if let Some(attempt) = live.attempt.take() {
             let setup = attempt.setup;
-            let input = match attempt.withdraw().await {
-                Ok((node, load)) => {
-                    live.node = Some(node);
-                    Input::Started { sess, setup, load }
-                }
-                Err((end, load)) => end.input(sess, setup, load),
-            };
+            let (input, node) = attempt::told(sess, setup, attempt.withdraw().await);
+            live.node = node.or(live.node.take());
             core.tell(input).await;
         }
         if let Some(node) = live.node {
             tokio::spawn(node.tear_down(self.shared.clone()));
         }
-        // A SETUP that was ordered and not yet begun never ran.
-        live.orders.close();
-        while let Ok(order) = live.orders.try_recv() {
-            if let Order::Setup { setup, .. } = order {
-                core.tell(Input::Ended { sess, setup, how: Ending::Unsent, load: None }).await;
-            }
-        }
-        core.send(Command::Close(sess)).await;
+        core::close(core, sess, &mut live.orders).await;
         self.server.ended();
     }
 }
--- a/crates/hls/src/session.rs
+++ b/crates/hls/src/session.rs
@@ -234,6 +234,11 @@
         self.heard = now;
     }
 
+    /// Requests that are being answered.
+    pub fn open(&self) -> usize {
+        self.open
+    }
+
     /// It is quiet from then on, if nothing is heard before; never while it is answered or waits for the engine.
     pub fn quiet_at(&self) -> Option<Instant> {
         (self.open == 0 && self.phase != Phase::Asking).then(|| self.heard + self.target * QUIET)
