--- a/crates/lab/src/emulator/world.rs
+++ b/crates/lab/src/emulator/world.rs
@@ -9,7 +9,6 @@
 use ashglade_engine::{Answer, Input};
 use ashglade_roster::{Entry, List, Standing};
 use ashglade_settings::{Settings, Title};
-use ashglade_standin::node::ColdPace;
 
 use super::crowd::Viewer;
 use super::nodes::{Fleet, Handled, Key};
@@ -187,15 +186,7 @@
             .enumerate()
             .map(|(i, entry)| Entry { address: (place(i), 554).into(), ..entry })
             .collect();
-        let head = &settings.headend;
-        let uplink = if head.uplink > 0.0 { head.uplink } else { f64::INFINITY };
-        let cold = ColdPace {
-            from: head.cold_from,
-            warm_after: head.warm_after.as_ms() / 1e3,
-            multiple: head.fall_multiple,
-            span: head.fall_span.as_ms() / 1e3,
-        };
-        let ladder = head.ladder.iter().map(|&(kb, _)| kb).collect();
+        let (uplinks, ladder, cold) = play::terms(&settings);
         let seed = day.seed.unwrap_or(0);
         let mut to_come = visits::draw(day, &settings);
         to_come.reverse();
@@ -212,7 +203,7 @@
             titles,
             net: day.network_ms.unwrap_or(0.3) / 1e3,
             shells: starts.into_iter().map(Shell::new).collect(),
-            fleet: Fleet::new(specs, vec![uplink; head.racks.into()], ladder, cold, seed),
+            fleet: Fleet::new(specs, uplinks, ladder, cold, seed),
             node_of: entries.iter().enumerate().map(|(i, entry)| (entry.node(), i)).collect(),
             list: List { generation: 1, entries },
             stale: 0.0,
--- a/crates/lab/src/play.rs
+++ b/crates/lab/src/play.rs
@@ -69,17 +69,9 @@
     let log = Log::create(&traffic, &plan).map_err(|e| format!("{}: {e}", traffic.display()))?;
 
     let (specs, entries) = nodes(day, &settings);
-    let head = &settings.headend;
-    let uplink = if head.uplink > 0.0 { head.uplink } else { f64::INFINITY };
-    let cold = ColdPace {
-        from: head.cold_from,
-        warm_after: head.warm_after.as_ms() / 1e3,
-        multiple: head.fall_multiple,
-        span: head.fall_span.as_ms() / 1e3,
-    };
-    let ladder = head.ladder.iter().map(|&(kb, _)| kb).collect();
+    let (uplinks, ladder, cold) = terms(&settings);
     let seed = day.seed.unwrap_or(0);
-    let fleet = Fleet::start(specs, vec![uplink; head.racks.into()], ladder, cold, seed, log.clone()).await;
+    let fleet = Fleet::start(specs, uplinks, ladder, cold, seed, log.clone()).await;
     let fleet = fleet.map_err(|e| format!("the nodes' listeners: {e}"))?;
     let entries = fleet.nodes.iter().zip(entries).map(|(node, entry)| Entry {
         address: node.address,
@@ -117,20 +109,20 @@
     let mut viewers = JoinSet::new();
     let mut shown = begun;
     let mut memory = Memory::default();
+    let mut show = |present: usize| {
+        if !quiet && shown.elapsed() >= Duration::from_secs(5) {
+            shown = Instant::now();
+            progress(begun.elapsed(), &judged(&plan, &log), present);
+        }
+    };
     for (at, script) in scripts {
         tokio::time::sleep_until(begun + at).await;
         memory.look(&stage.directors, begun.elapsed());
         viewers.spawn(viewer::run(script, log.clone(), media.clone()));
-        if !quiet && shown.elapsed() >= Duration::from_secs(5) {
-            shown = Instant::now();
-            progress(begun.elapsed(), &judged(&plan, &log), viewers.len());
-        }
+        show(viewers.len());
     }
     while viewers.join_next().await.is_some() {
-        if !quiet && shown.elapsed() >= Duration::from_secs(5) {
-            shown = Instant::now();
-            progress(begun.elapsed(), &judged(&plan, &log), viewers.len());
-        }
+        show(viewers.len());
     }
     while let Some(caused) = troubles.join_next().await {
         caused.map_err(|e| e.to_string())??;
@@ -233,6 +225,19 @@
     Log::create(&out.join("traffic.jsonl"), &empty).map_err(|e| e.to_string())
 }
 
+/// What all nodes of a day go by: uplinks of racks, the ladder's rates, the pace of cold ones.
+pub fn terms(settings: &Settings) -> (Vec<f64>, Vec<f64>, ColdPace) {
+    let head = &settings.headend;
+    let uplink = if head.uplink > 0.0 { head.uplink } else { f64::INFINITY };
+    let cold = ColdPace {
+        from: head.cold_from,
+        warm_after: head.warm_after.as_ms() / 1e3,
+        multiple: head.fall_multiple,
+        span: head.fall_span.as_ms() / 1e3,
+    };
+    (vec![uplink; head.racks.into()], head.ladder.iter().map(|&(kb, _)| kb).collect(), cold)
+}
+
 /// Nodes one after the other over zones and cells.
 pub fn nodes(day: &Day, settings: &Settings) -> (Vec<Spec>, Vec<Entry>) {
     let head = &settings.headend;
--- a/crates/standin/src/hls_player.rs
+++ b/crates/standin/src/hls_player.rs
@@ -6,7 +6,6 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use ashglade_judge::What;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Empty};
 use hyper::client::conn::http1::SendRequest;
@@ -75,33 +74,16 @@
     log: &Log,
     media: &Media,
 ) -> End {
-    let viewer = script.id;
     let connect = tokio::time::timeout(script.setup_timeout, Http::open(address));
     let Ok(Some(mut http)) = connect.await else { return End::Broken };
     let asked = Instant::now();
-    log.saw(What::Asked {
-        viewer,
-        again,
-        director,
-        group: script.group.clone(),
-        title: script.title.clone(),
-        setup_timeout: script.setup_timeout.as_secs_f64() * 1e3,
-    });
-    let query = format!("group={}&top={}&viewer={viewer}.{again}&client=v{viewer}", script.group, script.top);
-    let path = format!("/{}/index.m3u8?{query}", script.title);
-    let patience = script.leaves_after.unwrap_or(script.setup_timeout).min(script.setup_timeout);
-    let (status, after, body) = match timeout_at(asked + patience, http.get(&path)).await {
-        Ok(Some(answer)) => answer,
-        Ok(None) => {
-            log.saw(What::Cut { viewer, again });
-            return End::Broken;
-        }
-        Err(_) => {
-            log.saw(What::GaveUp { viewer, again, patient: patience >= script.setup_timeout });
-            return if patience < script.setup_timeout { End::Left } else { End::Broken };
-        }
+    let path = format!("/{}/index.m3u8?{}", script.title, script.query(again));
+    let status = |(status, ..): &(StatusCode, Option<u64>, Bytes)| (*status).into();
+    let answer = script.asks(again, director, log, http.get(&path), status).await;
+    let (status, after, body) = match answer {
+        Ok(answer) => answer,
+        Err(end) => return end,
     };
-    log.saw(What::Answered { viewer, again, status: status.into() });
     match status {
         StatusCode::OK => {}
         StatusCode::SERVICE_UNAVAILABLE => return End::Busy(after.map(Duration::from_secs)),
--- a/crates/standin/src/viewer.rs
+++ b/crates/standin/src/viewer.rs
@@ -53,6 +53,49 @@
     pub stalled_ms: AtomicU64,
 }
 
+impl Script {
+    /// What goes along in the URL of a try.
+    pub(crate) fn query(&self, again: u32) -> String {
+        let viewer = self.id;
+        format!("group={}&top={}&viewer={viewer}.{again}&client=v{viewer}", self.group, self.top)
+    }
+
+    /// Asks for a session, by whatever protocol, and notes what is seen of it; the answer, or how the try ended without.
+    pub(crate) async fn asks<T>(
+        &self,
+        again: u32,
+        director: u16,
+        log: &Log,
+        answer: impl Future<Output = Option<T>>,
+        status: impl Fn(&T) -> u16,
+    ) -> Result<T, End> {
+        let (viewer, asked) = (self.id, Instant::now());
+        log.saw(What::Asked {
+            viewer,
+            again,
+            director,
+            group: self.group.clone(),
+            title: self.title.clone(),
+            setup_timeout: self.setup_timeout.as_secs_f64() * 1e3,
+        });
+        let patience = self.leaves_after.unwrap_or(self.setup_timeout).min(self.setup_timeout);
+        match timeout_at(asked + patience, answer).await {
+            Ok(Some(answer)) => {
+                log.saw(What::Answered { viewer, again, status: status(&answer) });
+                Ok(answer)
+            }
+            Ok(None) => {
+                log.saw(What::Cut { viewer, again });
+                Err(End::Broken)
+            }
+            Err(_) => {
+                log.saw(What::GaveUp { viewer, again, patient: patience >= self.setup_timeout });
+                Err(if patience < self.setup_timeout { End::Left } else { End::Broken })
+            }
+        }
+    }
+}
+
 /// How a try ended.
 pub(crate) enum End {
     Watched,
@@ -136,8 +179,7 @@
     log: &Log,
     media: &Media,
 ) -> End {
-    let viewer = script.id;
-    let query = format!("group={}&top={}&viewer={viewer}.{again}&client=v{viewer}", script.group, script.top);
+    let query = script.query(again);
     let Ok(url) = Url::parse(&format!("rtsp://{address}/{}?{query}", script.title)) else {
         return End::Left;
     };
@@ -147,31 +189,15 @@
     let mut connection =
         Connection { framed: Framed::new(stream, Codec::default()), cseq: 0, url, session: None };
     let asked = Instant::now();
-    log.saw(What::Asked {
-        viewer,
-        again,
-        director,
-        group: script.group.clone(),
-        title: script.title.clone(),
-        setup_timeout: script.setup_timeout.as_secs_f64() * 1e3,
-    });
-    if connection.send(Method::Setup, Some(0)).await.is_err() {
-        log.saw(What::Cut { viewer, again });
-        return End::Broken;
-    }
-    let patience = script.leaves_after.unwrap_or(script.setup_timeout).min(script.setup_timeout);
-    let response = match timeout_at(asked + patience, connection.answer()).await {
-        Ok(Some(response)) => response,
-        Ok(None) => {
-            log.saw(What::Cut { viewer, again });
-            return End::Broken;
-        }
-        Err(_) => {
-            log.saw(What::GaveUp { viewer, again, patient: patience >= script.setup_timeout });
-            return if patience < script.setup_timeout { End::Left } else { End::Broken };
-        }
+    let answer = async {
+        connection.send(Method::Setup, Some(0)).await.ok()?;
+        connection.answer().await
+    };
+    let status = |response: &Response| response.status().into();
+    let response = match script.asks(again, director, log, answer, status).await {
+        Ok(response) => response,
+        Err(end) => return end,
     };
-    log.saw(What::Answered { viewer, again, status: response.status().into() });
     match response.status() {
         StatusCode::Ok => {}
         StatusCode::ServiceUnavailable | StatusCode::NotEnoughBandwidth => {
