--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -1,5 +1,6 @@
 //! `ashglade`: the operators' command line.
 
+use std::io::IsTerminal;
 use std::path::PathBuf;
 use std::process::ExitCode;
 
@@ -35,6 +36,12 @@
         #[arg(long)]
         record: Option<PathBuf>,
     },
+    /// Runs a director on the platform, in its protocol.
+    Platform {
+        /// The configuration that the platform hands over.
+        #[arg(long, env = "BALANCER_CONFIG")]
+        config: PathBuf,
+    },
     /// Checks settings and box list as a director would at start.
     Check {
         #[arg(long)]
@@ -59,7 +66,9 @@
         Ok(filter) => filter,
         Err(error) => return fail(format!("--log {}: {error}", args.log)),
     };
-    let log = tracing_subscriber::fmt().with_env_filter(filter).with_writer(std::io::stderr);
+    let colours = std::io::stderr().is_terminal();
+    let log =
+        tracing_subscriber::fmt().with_env_filter(filter).with_writer(std::io::stderr).with_ansi(colours);
     match args.log_form {
         LogForm::Text => log.init(),
         LogForm::Json => log.json().init(),
@@ -75,6 +84,15 @@
             runtime.shutdown_background();
             served.map_or_else(fail, |()| ExitCode::SUCCESS)
         }
+        Command::Platform { config } => {
+            // Part of one core: one thread serves all.
+            let runtime = match tokio::runtime::Builder::new_current_thread().enable_all().build() {
+                Ok(runtime) => runtime,
+                Err(error) => return fail(error),
+            };
+            let served = runtime.block_on(ashglade_platform_director::serve(&config));
+            served.map_or_else(fail, |()| ExitCode::SUCCESS)
+        }
         Command::Check { settings } => match ashglade_director::load(&settings) {
             Ok((settings, list, boxes)) => {
                 println!(
--- a/crates/director/src/core.rs
+++ b/crates/director/src/core.rs
@@ -285,6 +285,11 @@
             Effect::Release { sess } => {
                 self.order(sess, Order::Release);
             }
+            // These fronts have no word for coming again: the session ends.
+            Effect::SendBack { sess } => {
+                self.order(sess, Order::Release);
+                self.next.push(Input::Over { sess, how: Ending::Cancelled });
+            }
             Effect::Probe { probe, node } => {
                 let address = self.engine.roster().entry(node).map(|entry| entry.address);
                 match address {
--- a/crates/director/src/lib.rs
+++ b/crates/director/src/lib.rs
@@ -2,7 +2,6 @@
 //! into one round; connection tasks carry bytes and time. Nothing here decides.
 
 mod attempt;
-mod clock;
 mod core;
 mod hls;
 mod lists;
@@ -15,6 +14,6 @@
 mod talk;
 mod viewer;
 
-pub use clock::Clock;
+pub use ashglade_clock::Clock;
 pub use lists::Files;
 pub use serve::{Options, Trouble, door_view, load, replay_start, serve};
--- a/crates/director/src/serve.rs
+++ b/crates/director/src/serve.rs
@@ -23,11 +23,11 @@
 use tokio::sync::{Semaphore, watch};
 use tracing::{info, warn};
 
-use crate::clock::Clock;
 use crate::core::{self, Book, Core};
 use crate::lists::{self, Files};
 use crate::pool::Pool;
 use crate::viewer;
+use ashglade_clock::Clock;
 
 /// What every task may need.
 pub struct Shared {
--- a/crates/engine/src/desk.rs
+++ b/crates/engine/src/desk.rs
@@ -90,6 +90,13 @@
         self.timers.at(self.now + after, Timer::Wake(ticket));
     }
 
+    fn send_back(&mut self, sess: Sess) {
+        // It is over once the shell tells so.
+        if self.hands.get(sess).is_some_and(|hand| hand.plays_at.is_some()) {
+            self.effects.push(Effect::SendBack { sess });
+        }
+    }
+
     /// The list comes by itself.
     fn follow_list(&mut self, _on: bool) {}
 }
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -1,6 +1,6 @@
 //! The rounds.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use ashglade::ids::{Node, Sess, SetupNo};
 use ashglade::interface::{Ending, Headend, Viewing};
@@ -15,7 +15,7 @@
 use crate::notes::Notes;
 use crate::setups::{self, Withdrawn};
 use crate::timers::{Timer, Timers};
-use crate::words::{Answer, Effect, Input, Load, Want, Why};
+use crate::words::{Answer, Effect, Input, Load, Told, Want, Why};
 
 /// What an engine is started with.
 #[derive(Clone, Debug)]
@@ -40,6 +40,8 @@
     director: Director,
     start: Start,
     roster: Roster,
+    /// Nodes that the last numbered events told as ready.
+    ready: BTreeSet<Node>,
     door: Option<Door>,
     /// What nodes were found not to hold.
     missing: Missing,
@@ -56,6 +58,8 @@
 /// One piece of news for the module, in its words.
 enum News {
     List,
+    Told(bool, Vec<Told>),
+    UnderWay(Sess, Viewing, Node),
     Turns(Vec<usize>, usize),
     Asked(Sess, Viewing),
     Left(Sess),
@@ -77,6 +81,7 @@
             door: start.door.clone().map(|terms| Door::new(terms, now)),
             start,
             roster: Roster::default(),
+            ready: BTreeSet::new(),
             missing: Missing::new(MOST_MISSING, Span::from_secs(BELIEVED)),
             hands: Hands::default(),
             timers,
@@ -190,6 +195,31 @@
     fn take(&mut self, now: Instant, input: Input, news: &mut Vec<News>, effects: &mut Vec<Effect>) {
         match input {
             Input::List(list) => self.list(list, news, effects),
+            Input::Told { whole, nodes } => {
+                if whole {
+                    self.ready.clear();
+                }
+                for told in &nodes {
+                    if told.place.is_some() {
+                        self.ready.insert(told.node);
+                    } else {
+                        self.ready.remove(&told.node);
+                    }
+                }
+                news.push(News::Told(whole, nodes));
+                let ready = std::mem::take(&mut self.ready);
+                self.recall(|node| ready.contains(&node), effects);
+                self.ready = ready;
+            }
+            Input::UnderWay { sess, want, node } => {
+                if self.hands.len() < self.start.most_sessions {
+                    let answered = true;
+                    let hand = Hand { answered, setups: 1, plays_at: Some(node), ..self.hand(now, &want) };
+                    self.hands.insert(sess, hand);
+                    news.push(News::UnderWay(sess, viewing(want, Span::ZERO), node));
+                }
+            }
+            Input::Delivered { node, share } => news.push(News::Delivered(node, share)),
             Input::Asked { sess, want } => self.asked(now, sess, want, news, effects),
             Input::Left { sess } => self.left(now, sess, news, effects),
             Input::Written { sess, setup } => {
@@ -268,7 +298,10 @@
             Ok(None) => return,
             Ok(Some(_)) => {
                 news.push(News::List);
-                self.recall(effects);
+                let roster = std::mem::take(&mut self.roster);
+                let ready = |node| roster.entry(node).is_some_and(|e| e.standing == Standing::Ready);
+                self.recall(ready, effects);
+                self.roster = roster;
                 None
             }
             Err(refusal) => Some(refusal.to_string()),
@@ -279,12 +312,14 @@
 
     /// Rule 3: what waits for a connection to a node that now drains or is gone must not be written later, when
     /// the grace may be over. What has been written goes on.
-    fn recall(&mut self, effects: &mut Vec<Effect>) {
-        let roster = &self.roster;
+    fn recall(&mut self, ready: impl Fn(Node) -> bool, effects: &mut Vec<Effect>) {
         for (sess, hand) in self.hands.iter_mut() {
             let Some(out) = &mut hand.out else { continue };
-            let ready = roster.entry(out.node).is_some_and(|e| e.standing == Standing::Ready);
-            if !ready && !out.written && out.withdrawn.is_none() && out.withdraw(Withdrawn::Recalled) {
+            if !ready(out.node)
+                && !out.written
+                && out.withdrawn.is_none()
+                && out.withdraw(Withdrawn::Recalled)
+            {
                 effects.push(Effect::Withdraw { sess, setup: out.setup, if_unsent: true });
             }
         }
@@ -310,19 +345,7 @@
             return;
         }
         let patience = want.setup_timeout - self.start.answer_margin;
-        let hand = Hand {
-            group: want.group,
-            title: want.title,
-            // Half of the margin is for what the last SETUP's ending takes to reach the module.
-            answer_by: now + patience + self.start.answer_margin * 0.5,
-            answered: false,
-            left: false,
-            at_door: None,
-            setups: 0,
-            out: None,
-            plays_at: None,
-            rung: self.start.headend.groups.get(want.group.0).map_or_else(Default::default, |g| g.floor),
-        };
+        let hand = self.hand(now, &want);
         self.timers.at(hand.answer_by, Timer::Answer(sess));
         let terms = self.start.headend.groups.get(want.group.0);
         let hand = match (&mut self.door, terms) {
@@ -340,6 +363,22 @@
         self.hands.insert(sess, hand);
     }
 
+    fn hand(&self, now: Instant, want: &Want) -> Hand {
+        Hand {
+            group: want.group,
+            title: want.title,
+            // Half of the margin is for what the last SETUP's ending takes to reach the module.
+            answer_by: now + want.setup_timeout - self.start.answer_margin * 0.5,
+            answered: false,
+            left: false,
+            at_door: None,
+            setups: 0,
+            out: None,
+            plays_at: None,
+            rung: self.start.headend.groups.get(want.group.0).map_or_else(Default::default, |g| g.floor),
+        }
+    }
+
     fn left(&mut self, now: Instant, sess: Sess, news: &mut Vec<News>, effects: &mut Vec<Effect>) {
         let Some(hand) = self.hands.get_mut(sess) else { return };
         if hand.left {
@@ -522,6 +561,21 @@
             }
             round.list_done();
         }
+        News::Told(whole, ref nodes) => {
+            if whole {
+                round.list_whole();
+            } else {
+                round.list_changes();
+            }
+            for told in nodes {
+                match told.place {
+                    Some(place) => round.node_ready(told.node, place),
+                    None => round.node_leaves(told.node),
+                }
+            }
+            round.list_done();
+        }
+        News::UnderWay(sess, want, node) => round.under_way(sess, want, node),
         News::Asked(sess, want) => round.asked(sess, want),
         News::Left(sess) => round.left(sess),
         News::Started(sess, setup, node) => round.started(sess, setup, node),
--- a/crates/engine/src/tests.rs
+++ b/crates/engine/src/tests.rs
@@ -99,6 +99,7 @@
         Effect::Answer { sess, answer: Answer::TornDown } => format!("{} torn down", sess.0),
         Effect::Rung { sess, rung } => format!("{} to rung {}", sess.0, rung.0),
         Effect::Release { sess } => format!("release {}", sess.0),
+        Effect::SendBack { sess } => format!("send back {}", sess.0),
         Effect::Probe { node, .. } => format!("probe {}", names[node]),
         Effect::Listed { generation, refused } => format!("list {generation} {refused:?}"),
         Effect::Drained => "drained".to_string(),
--- a/crates/engine/src/words.rs
+++ b/crates/engine/src/words.rs
@@ -1,7 +1,7 @@
 //! What goes into a round and what comes out of it. Fronts and shells know these words, never the module's insides.
 
 use ashglade::ids::{Cell, Group, Node, Rung, Sess, SetupNo, Title};
-use ashglade::interface::Ending;
+use ashglade::interface::{Ending, Place};
 use ashglade::time::{Instant, Span};
 use ashglade_door::Turned;
 use ashglade_roster::List;
@@ -34,10 +34,28 @@
     pub streams: Option<f64>,
 }
 
+/// A media node as a numbered event tells of it; without a place it drains or is gone.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Told {
+    pub node: Node,
+    pub place: Option<Place>,
+}
+
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Input {
     /// A whole box list, as it was read.
     List(List),
+    /// What a numbered event tells of nodes: all of them, or those that changed. It is in force as it is told.
+    Told {
+        whole: bool,
+        nodes: Vec<Told>,
+    },
+    /// A session that plays already is handed over; nobody is owed an answer. The node may be unknown here.
+    UnderWay {
+        sess: Sess,
+        want: Want,
+        node: Node,
+    },
     /// A viewer asks for a session. `sess` is new.
     Asked {
         sess: Sess,
@@ -86,6 +104,11 @@
         sess: Sess,
         share: f64,
     },
+    /// The share of their rates that sessions at this node get, as the node itself tells it.
+    Delivered {
+        node: Node,
+        share: f64,
+    },
     Load {
         node: Node,
         load: Load,
@@ -160,6 +183,10 @@
     Release {
         sess: Sess,
     },
+    /// A playing session is sent back: over here and at its node, and its viewer comes again.
+    SendBack {
+        sess: Sess,
+    },
     Probe {
         probe: u64,
         node: Node,
--- a/crates/lab/src/emulator/shells.rs
+++ b/crates/lab/src/emulator/shells.rs
@@ -217,7 +217,7 @@
                     self.plan(net, Event::Switch { key: (director, sess), node, rung: rung.0 });
                 }
             }
-            Effect::Release { sess } => {
+            Effect::Release { sess } | Effect::SendBack { sess } => {
                 // What began too late is let go, and the request may still want its answer.
                 let Some(seat) = seats.get_mut(&sess) else { return };
                 let node = seat.plays_at.take().or(seat.out.take().and_then(|(_, node)| node));
--- /dev/null
+++ b/crates/platform/src/causes.rs
@@ -0,0 +1,47 @@
+//! Causes of releases, both ways, in one table each. What a SETUP's ending proves is read here and nowhere else.
+
+use ashglade::interface::Ending;
+
+use ashglade_engine::{Answer, Why};
+
+/// The set-up is given up, or the session ended as it should.
+pub const CLEARED: u16 = 16;
+const NO_ROOM: u16 = 34;
+pub const CONGESTED: u16 = 42;
+const BROKEN: u16 = 41;
+/// A request that can't be used.
+pub const UNUSABLE: u16 = 100;
+
+/// A release in place of an answer.
+pub fn of_setup(cause: u16) -> Ending {
+    match cause {
+        34 => Ending::Full,
+        102 => Ending::Unsent,
+        47 => Ending::Fault,
+        _ => Ending::Lost,
+    }
+}
+
+/// A release of a session that stood, and whether its viewer is owed one.
+pub fn of_session(cause: u16) -> (Ending, bool) {
+    match cause {
+        16 => (Ending::Played, true),
+        31 => (Ending::Cancelled, false),
+        _ => (Ending::Lost, true),
+    }
+}
+
+/// What the viewer is told in place of an answer.
+pub fn of_answer(answer: &Answer) -> u16 {
+    match answer {
+        Answer::Plays { .. } => CLEARED,
+        Answer::Busy { why: Why::NoRoom, .. } => NO_ROOM,
+        Answer::Busy { .. } => CONGESTED,
+        Answer::TornDown => BROKEN,
+    }
+}
+
+/// What the viewer is told when its session is over.
+pub fn of_over(how: Ending) -> u16 {
+    if how == Ending::Played { CLEARED } else { BROKEN }
+}
--- /dev/null
+++ b/crates/platform/src/config.rs
@@ -0,0 +1,51 @@
+//! The configuration that the platform hands to a director: read whole or not at all.
+
+use std::net::SocketAddr;
+
+use ashglade_site::Site;
+use serde::Deserialize;
+
+use crate::bus::Batch;
+
+#[derive(Clone, Debug)]
+pub struct Config {
+    pub name: String,
+    pub listen: SocketAddr,
+    pub bus: SocketAddr,
+    pub limits: Limits,
+    pub known: Batch,
+    pub site: Site,
+}
+
+#[derive(Clone, Copy, Debug, Deserialize)]
+pub struct Limits {
+    pub memory_mb: f64,
+    pub sockets: usize,
+}
+
+#[derive(Deserialize)]
+struct Raw<'a> {
+    name: String,
+    listen: SocketAddr,
+    #[serde(default)]
+    seed: String,
+    limits: Limits,
+    bus: SocketAddr,
+    known: Batch,
+    #[serde(borrow)]
+    settings: &'a serde_json::value::RawValue,
+}
+
+impl Config {
+    pub fn read(text: &str) -> Result<Config, String> {
+        let raw: Raw = serde_json::from_str(text).map_err(|e| e.to_string())?;
+        let seed = u64::from_str_radix(&raw.seed, 16)
+            .map_err(|_| format!("seed: {:?} is not a number of up to 16 hex digits", raw.seed))?;
+        if raw.limits.sockets < 16 {
+            return Err(format!("limits.sockets: {} are too few to serve with", raw.limits.sockets));
+        }
+        let site = ashglade_site::read(seed, raw.settings.get().as_bytes())?;
+        let Raw { name, listen, bus, limits, known, .. } = raw;
+        Ok(Config { name, listen, bus, limits, known, site })
+    }
+}
--- /dev/null
+++ b/crates/platform/src/peers.rs
@@ -0,0 +1,523 @@
+//! The switchboard's side towards media nodes: connections, what waits for them, tests of those that have fallen silent.
+//!
+//! What stands at a node is tied to no connection. Its end is heard from the node; where the node can't say it, it is found
+//! out: one that refuses connections has ended, one that answers no test and takes no connection is gone, and one that the
+//! list tells as started since has lost what it had.
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::net::SocketAddr;
+
+use ashglade::ids::{Node, Rung, Sess, SetupNo};
+use ashglade::interface::{Ending, Gauge};
+use ashglade::time::{Instant, Span};
+use ashglade_engine::{Input, Load, Told};
+use bytes::Bytes;
+use tracing::debug;
+
+use crate::board::{Action, Board, Fall, Out, Trunk};
+use crate::bus::News;
+use crate::causes;
+use crate::message::{self, Message, Tag, Verb, figure};
+
+/// A node that says nothing for so long is tested; sessions that it lost unsaid are owed a release within 8 s.
+const QUIET: f64 = 2.0;
+/// A test that has no answer by then is taken for failed, and another connection is tried.
+const TEST: f64 = 1.0;
+/// No word and no connection for so long: it is gone.
+const GONE: f64 = 5.0;
+/// Between attempts at a connection that is wanted for what stands there.
+const REDIAL: f64 = 0.25;
+/// Connections to one node, and lines that wait for one, at most.
+const MOST_TRUNKS: usize = 4;
+const MOST_LETTERS: usize = 1024;
+/// Given-up SETUPs whose late answers are known.
+const MOST_GIVEN_UP: usize = 1024;
+
+pub(crate) struct Peer {
+    name: String,
+    address: Option<SocketAddr>,
+    removed: bool,
+    trunks: BTreeSet<Trunk>,
+    /// Sessions whose SETUP waits for a connection, and probes.
+    waiting: VecDeque<Sess>,
+    probes: Vec<u64>,
+    /// Lines that any connection may carry: releases, new rungs.
+    letters: VecDeque<Bytes>,
+    pub standing: BTreeSet<Sess>,
+    heard: Instant,
+    tested: Option<Instant>,
+    dialed: Instant,
+}
+
+/// A connection to a node.
+pub(crate) struct Line {
+    node: Node,
+    up: bool,
+    made: Instant,
+    heard: Instant,
+    open: BTreeSet<Sess>,
+    /// Tests out, with the engine's number where it asked for one.
+    echoes: BTreeMap<Tag, Option<u64>>,
+}
+
+impl Board {
+    // Events
+
+    pub(crate) fn told(&mut self, now: Instant, news: News) {
+        let mut left: BTreeSet<Node> = BTreeSet::new();
+        if news.whole {
+            left.extend(self.peers.keys());
+        }
+        let mut nodes = Vec::with_capacity(news.entries.len());
+        for entry in news.entries {
+            left.remove(&entry.node);
+            nodes.push(Told { node: entry.node, place: entry.ready.then_some(entry.place) });
+            let name = entry.name;
+            let peer = self.peers.entry(entry.node).or_insert_with(|| Peer {
+                name,
+                address: None,
+                removed: false,
+                trunks: BTreeSet::new(),
+                waiting: VecDeque::new(),
+                probes: Vec::new(),
+                letters: VecDeque::new(),
+                standing: BTreeSet::new(),
+                heard: now,
+                tested: None,
+                dialed: Instant::LONG_AGO,
+            });
+            peer.removed = entry.removed;
+            peer.address = entry.address.or(peer.address).filter(|_| !entry.removed);
+            if let Some(started) = entry.place.started {
+                self.started_again(now, entry.node, started);
+            }
+        }
+        for node in left {
+            nodes.push(Told { node, place: None });
+            if let Some(peer) = self.peers.get_mut(&node) {
+                (peer.removed, peer.address) = (true, None);
+            }
+        }
+        self.inputs.push(Input::Told { whole: news.whole, nodes });
+    }
+
+    /// What was there before is lost.
+    fn started_again(&mut self, now: Instant, node: Node, started: Instant) {
+        let Some(peer) = self.peers.get(&node) else { return };
+        let made = |trunk: &Trunk| self.trunks.get(trunk).is_some_and(|line| line.made < started);
+        let old: Vec<Trunk> = peer.trunks.iter().copied().filter(made).collect();
+        let since =
+            |sess: &Sess| self.calls.get(sess).and_then(|call| call.at).is_some_and(|at| at.1 < started);
+        let lost: Vec<Sess> = peer.standing.iter().copied().filter(since).collect();
+        for sess in lost {
+            self.over(sess, Ending::Lost, true);
+        }
+        for trunk in old {
+            self.spoil(now, trunk);
+        }
+    }
+
+    pub(crate) fn up(&mut self, now: Instant, trunk: Trunk) {
+        let Some(line) = self.trunks.get_mut(&trunk) else { return };
+        (line.up, line.heard) = (true, now);
+        let node = line.node;
+        let Some(peer) = self.peers.get_mut(&node) else { return };
+        peer.heard = now;
+        let letters = std::mem::take(&mut peer.letters);
+        let (waiting, probes) = (std::mem::take(&mut peer.waiting), std::mem::take(&mut peer.probes));
+        // One that failed its test is of no more use now that there is another.
+        let failed = peer.tested.take().is_some_and(|at| now - at > Span::from_secs(TEST));
+        let old: Vec<Trunk> = peer.trunks.iter().copied().filter(|&t| failed && t != trunk).collect();
+        self.actions.extend(letters.into_iter().map(|line| Action::ToNode(trunk, line)));
+        for sess in waiting {
+            self.send(now, sess, trunk);
+        }
+        for probe in probes {
+            self.echo(trunk, Some(probe));
+        }
+        for trunk in old {
+            if self.trunks.get(&trunk).is_some_and(|line| line.up) {
+                self.spoil(now, trunk);
+            }
+        }
+    }
+
+    pub(crate) fn heard(&mut self, now: Instant, trunk: Trunk, message: Message) {
+        let Some(line) = self.trunks.get_mut(&trunk) else { return };
+        line.heard = now;
+        let node = line.node;
+        if let Some(peer) = self.peers.get_mut(&node) {
+            (peer.heard, peer.tested) = (now, None);
+        }
+        let Some(tag) = message.tag else { return self.spoil(now, trunk) };
+        let load = message.opts.get("load").map(read_load);
+        let sess = self.tags.get(&tag).copied();
+        let call = sess.and_then(|sess| self.calls.get(&sess));
+        let answers = |out: &Out| out.sent.is_some_and(|(sent, _)| sent == trunk);
+        let out = call.and_then(|call| call.out.as_ref()).filter(|out| answers(out)).map(|out| out.setup);
+        let stands = call.and_then(|call| call.at).is_some_and(|(at, _)| at == node);
+        match (message.verb, sess) {
+            (Verb::Started, Some(sess)) if out.is_some() => {
+                let Some(text) = message.description else { return self.spoil(now, trunk) };
+                let Some(setup) = out else { return };
+                self.set_up_over(sess);
+                if let Some(call) = self.calls.get_mut(&sess) {
+                    (call.at, call.description, call.ask) = (Some((node, now)), Some(text), None);
+                }
+                self.stands(now, sess, node);
+                self.inputs.push(Input::Started { sess, setup, load });
+            }
+            (Verb::Started, _) if !stands => {
+                // It comes too late to be wanted, or was never asked for.
+                if let Some(at) = self.given_up.iter().position(|&given| given == (node, tag)) {
+                    self.given_up.remove(at);
+                    self.post(now, node, Verb::Finish, tag, &[], Some(causes::CLEARED));
+                }
+            }
+            (Verb::Finish, sess) => {
+                let Some(cause) = message.cause else { return self.spoil(now, trunk) };
+                match (sess, out) {
+                    (Some(sess), Some(setup)) => {
+                        self.set_up_over(sess);
+                        self.inputs.push(Input::Ended { sess, setup, how: causes::of_setup(cause), load });
+                        self.settle(sess);
+                    }
+                    (Some(sess), None) if stands => {
+                        self.inputs.extend(load.map(|load| Input::Load { node, load }));
+                        let (how, owed) = causes::of_session(cause);
+                        self.over(sess, how, owed);
+                    }
+                    _ => {}
+                }
+            }
+            (Verb::Echoed, _) => {
+                let test = self.trunks.get_mut(&trunk).and_then(|line| line.echoes.remove(&tag));
+                if let Some(Some(probe)) = test {
+                    let load = (message.cause == Some(1)).then(|| load.unwrap_or_default());
+                    self.inputs.push(Input::Probed { probe, load });
+                }
+            }
+            (Verb::Notice, Some(sess)) if stands => {
+                let Some(value) = message.opts.figure("value") else { return };
+                match message.opts.get("note") {
+                    Some("d") => self.inputs.push(Input::Delivered { node, share: value }),
+                    Some("r") => self.inputs.push(Input::Stays { sess, rung: Rung(value as u8) }),
+                    Some("l") => {
+                        let load = Load { link: Some(value), ..Load::default() };
+                        self.inputs.push(Input::Load { node, load });
+                    }
+                    Some("u") => {
+                        let load = Load { uplink: Some(value), ..Load::default() };
+                        self.inputs.push(Input::Load { node, load });
+                    }
+                    _ => {}
+                }
+            }
+            _ => {}
+        }
+    }
+
+    pub(crate) fn down(&mut self, now: Instant, trunk: Trunk, fall: Fall) {
+        let Some(line) = self.trunks.remove(&trunk) else { return };
+        debug!(trunk = trunk.0, ?fall, open = line.open.len(), "a connection to a node ended");
+        let node = line.node;
+        for sess in line.open {
+            let Some(call) = self.calls.get_mut(&sess) else { continue };
+            let Some(out) = call.out.take() else { continue };
+            // It may have run, and may stand there unknown to us.
+            let tag = call.tag;
+            self.inputs.push(Input::Ended { sess, setup: out.setup, how: Ending::Lost, load: None });
+            self.owe(node, tag);
+            self.settle(sess);
+        }
+        for probe in line.echoes.into_values().flatten() {
+            self.inputs.push(Input::Probed { probe, load: None });
+        }
+        let Some(peer) = self.peers.get_mut(&node) else { return };
+        peer.trunks.remove(&trunk);
+        if fall == Fall::Refused {
+            // Its process has ended, and all that it had.
+            peer.letters.clear();
+            let lost = std::mem::take(&mut peer.standing);
+            for sess in lost {
+                self.over(sess, Ending::Lost, true);
+            }
+        }
+        self.no_trunk_for_waiting(node);
+        let Some(peer) = self.peers.get(&node) else { return };
+        let wanted = !peer.standing.is_empty() || !peer.letters.is_empty();
+        if wanted && peer.trunks.is_empty() && now - peer.dialed > Span::from_secs(REDIAL) {
+            self.dial(now, node);
+        }
+    }
+
+    /// What waits for a connection can't have one, if none is on its way.
+    fn no_trunk_for_waiting(&mut self, node: Node) {
+        let Some(peer) = self.peers.get_mut(&node) else { return };
+        if peer.trunks.iter().any(|trunk| self.trunks.get(trunk).is_some_and(|line| !line.up)) {
+            return;
+        }
+        let (waiting, probes) = (std::mem::take(&mut peer.waiting), std::mem::take(&mut peer.probes));
+        for sess in waiting {
+            let Some(out) = self.calls.get_mut(&sess).and_then(|call| call.out.take()) else { continue };
+            self.inputs.push(Input::Ended { sess, setup: out.setup, how: Ending::Unreachable, load: None });
+            self.settle(sess);
+        }
+        self.inputs.extend(probes.into_iter().map(|probe| Input::Probed { probe, load: None }));
+    }
+
+    // What the engine wants
+
+    pub(crate) fn set_up(&mut self, now: Instant, sess: Sess, out: Out) {
+        let (node, setup) = (out.node, out.setup);
+        let Some(call) = self.calls.get_mut(&sess) else { return };
+        if self.peers.get(&node).is_none_or(|peer| peer.address.is_none()) {
+            return self.inputs.push(Input::Ended { sess, setup, how: Ending::Unsent, load: None });
+        }
+        call.out = Some(out);
+        match self.trunk(now, node) {
+            Some(trunk) => self.send(now, sess, trunk),
+            None => {
+                if let Some(peer) = self.peers.get_mut(&node) {
+                    peer.waiting.push_back(sess);
+                }
+            }
+        }
+    }
+
+    /// Writes the SETUP that waits. From here on it may have run.
+    fn send(&mut self, now: Instant, sess: Sess, trunk: Trunk) {
+        let Some(call) = self.calls.get_mut(&sess) else { return };
+        let (Some(out), Some(ask)) = (call.out.as_mut(), call.ask.as_ref()) else { return };
+        let setup = out.setup;
+        let (rung, left) = (out.rung.0.to_string(), (out.until - now).as_ms().floor().max(1.0).to_string());
+        let opts =
+            [("class", ask.class.as_str()), ("key", ask.key.as_str()), ("left", &left), ("rung", &rung)];
+        let line = message::write(Verb::Start, call.tag, &opts, None, Some(&ask.description));
+        let Some(line) = line else {
+            call.out = None;
+            return self.inputs.push(Input::Ended { sess, setup, how: Ending::Unsent, load: None });
+        };
+        out.sent = Some((trunk, now));
+        if let Some(on) = self.trunks.get_mut(&trunk) {
+            on.open.insert(sess);
+        }
+        self.inputs.push(Input::Written { sess, setup });
+        self.actions.push(Action::ToNode(trunk, line));
+    }
+
+    pub(crate) fn withdraw(&mut self, now: Instant, sess: Sess, setup: SetupNo, if_unsent: bool) {
+        let Some(call) = self.calls.get_mut(&sess) else { return };
+        let Some(out) = call.out.as_ref().filter(|out| out.setup == setup) else { return };
+        let (tag, node, late, sent) = (call.tag, out.node, now >= out.until, out.sent);
+        let Some((trunk, at)) = sent else {
+            call.out = None;
+            if let Some(peer) = self.peers.get_mut(&node) {
+                peer.waiting.retain(|&other| other != sess);
+            }
+            let how = if late { Ending::Unreachable } else { Ending::Unsent };
+            self.inputs.push(Input::Ended { sess, setup, how, load: None });
+            return self.settle(sess);
+        };
+        if if_unsent {
+            return;
+        }
+        self.set_up_over(sess);
+        self.given_up.push_back((node, tag));
+        if self.given_up.len() > MOST_GIVEN_UP {
+            self.given_up.pop_front();
+        }
+        self.inputs.push(Input::Ended { sess, setup, how: Ending::Silent, load: None });
+        let line = message::write(Verb::Finish, tag, &[], Some(causes::CLEARED), None);
+        self.actions.extend(line.map(|line| Action::ToNode(trunk, line)));
+        // Not a word since it was sent: whatever the cause, nothing else open there will be answered.
+        if late && self.trunks.get(&trunk).is_some_and(|line| line.heard <= at) {
+            self.owe(node, tag);
+            self.spoil(now, trunk);
+        }
+        self.settle(sess);
+    }
+
+    pub(crate) fn change_rung(&mut self, now: Instant, sess: Sess, rung: Rung) {
+        let Some(call) = self.calls.get(&sess) else { return };
+        if let Some((node, _)) = call.at {
+            let tag = call.tag;
+            self.post(now, node, Verb::Rate, tag, &[("rung", &rung.0.to_string())], None);
+        }
+    }
+
+    /// Tears the session down at its node, if it stands there.
+    pub(crate) fn release(&mut self, now: Instant, sess: Sess) {
+        if let Some((node, _)) = self.calls.get(&sess).and_then(|call| call.at)
+            && let Some(tag) = self.calls.get(&sess).map(|call| call.tag)
+        {
+            self.forget_standing(sess);
+            self.post(now, node, Verb::Finish, tag, &[], Some(causes::CLEARED));
+        }
+        self.settle(sess);
+    }
+
+    pub(crate) fn probe(&mut self, now: Instant, probe: u64, node: Node) {
+        match self.trunk(now, node) {
+            Some(trunk) => self.echo(trunk, Some(probe)),
+            None => match self.peers.get_mut(&node) {
+                Some(peer) if !peer.trunks.is_empty() => peer.probes.push(probe),
+                _ => self.inputs.push(Input::Probed { probe, load: None }),
+            },
+        }
+    }
+
+    // Connections
+
+    pub(crate) fn stands(&mut self, now: Instant, sess: Sess, node: Node) {
+        let Some(peer) = self.peers.get_mut(&node) else { return };
+        peer.standing.insert(sess);
+        if peer.trunks.is_empty() {
+            peer.heard = now;
+            self.dial(now, node);
+        }
+    }
+
+    /// A SETUP has its answer, or is given up.
+    fn set_up_over(&mut self, sess: Sess) {
+        let out = self.calls.get_mut(&sess).and_then(|call| call.out.take());
+        if let Some((trunk, _)) = out.and_then(|out| out.sent)
+            && let Some(line) = self.trunks.get_mut(&trunk)
+        {
+            line.open.remove(&sess);
+        }
+    }
+
+    /// A connection that takes a further SETUP; where there is none, one is on its way if one may be.
+    fn trunk(&mut self, now: Instant, node: Node) -> Option<Trunk> {
+        let peer = self.peers.get(&node)?;
+        let streams = self.site.streams.unwrap_or(usize::MAX);
+        let on = |trunk: &&Trunk| self.trunks.get(trunk).is_some_and(|l| l.up && l.open.len() < streams);
+        if let Some(&trunk) = peer.trunks.iter().rev().find(on) {
+            return Some(trunk);
+        }
+        if peer.trunks.iter().all(|trunk| self.trunks.get(trunk).is_none_or(|line| line.up)) {
+            self.dial(now, node);
+        }
+        None
+    }
+
+    fn dial(&mut self, now: Instant, node: Node) {
+        let Some(peer) = self.peers.get_mut(&node) else { return };
+        let Some(address) = peer.address.filter(|_| peer.trunks.len() < MOST_TRUNKS) else { return };
+        let trunk = Trunk(self.next_trunk);
+        self.next_trunk += 1;
+        peer.trunks.insert(trunk);
+        peer.dialed = now;
+        let line =
+            Line { node, up: false, made: now, heard: now, open: BTreeSet::new(), echoes: BTreeMap::new() };
+        self.trunks.insert(trunk, line);
+        self.actions.push(Action::Dial(trunk, address));
+    }
+
+    pub(crate) fn spoil(&mut self, now: Instant, trunk: Trunk) {
+        self.actions.push(Action::HangUp(trunk));
+        self.down(now, trunk, Fall::Spoilt);
+    }
+
+    fn echo(&mut self, trunk: Trunk, probe: Option<u64>) {
+        let tag = Tag::of(self.next_echo);
+        self.next_echo = self.next_echo.wrapping_add(1);
+        if let Some(line) = self.trunks.get_mut(&trunk) {
+            line.echoes.insert(tag, probe);
+        }
+        let line = message::write(Verb::Echo, tag, &[], Some(u16::from(probe.is_some())), None);
+        self.actions.extend(line.map(|line| Action::ToNode(trunk, line)));
+    }
+
+    fn owe(&mut self, node: Node, tag: Tag) {
+        let line = message::write(Verb::Finish, tag, &[], Some(causes::CLEARED), None);
+        if let Some(peer) = self.peers.get_mut(&node)
+            && peer.letters.len() < MOST_LETTERS
+        {
+            peer.letters.extend(line);
+        }
+    }
+
+    /// Sends a line that any connection to the node may carry.
+    fn post(
+        &mut self,
+        now: Instant,
+        node: Node,
+        verb: Verb,
+        tag: Tag,
+        opts: &[(&str, &str)],
+        cause: Option<u16>,
+    ) {
+        let Some(line) = message::write(verb, tag, opts, cause, None) else { return };
+        let Some(peer) = self.peers.get_mut(&node) else { return };
+        let up = |trunk: &&Trunk| self.trunks.get(trunk).is_some_and(|line| line.up);
+        if let Some(&trunk) = peer.trunks.iter().rev().find(up) {
+            return self.actions.push(Action::ToNode(trunk, line));
+        }
+        if peer.letters.len() < MOST_LETTERS {
+            peer.letters.push_back(line);
+        }
+        if peer.trunks.is_empty() {
+            self.dial(now, node);
+        }
+    }
+
+    pub(crate) fn look_at_peers(&mut self, now: Instant) {
+        let nodes: Vec<Node> = self.peers.keys().copied().collect();
+        for node in nodes {
+            self.look_at(now, node);
+        }
+    }
+
+    fn look_at(&mut self, now: Instant, node: Node) {
+        let Some(peer) = self.peers.get_mut(&node) else { return };
+        let after = |at: Instant, secs: f64| now - at > Span::from_secs(secs);
+        if peer.standing.is_empty() {
+            let open = |trunk: &Trunk| self.trunks.get(trunk).is_some_and(|line| !line.open.is_empty());
+            if peer.removed && peer.waiting.is_empty() && !peer.trunks.iter().any(open) {
+                let trunks = peer.trunks.clone();
+                trunks.into_iter().for_each(|trunk| self.spoil(now, trunk));
+                self.peers.remove(&node);
+            }
+            return;
+        }
+        if after(peer.heard, GONE) || (peer.trunks.is_empty() && peer.address.is_none()) {
+            debug!(name = peer.name, standing = peer.standing.len(), "a node is gone unsaid");
+            let lost = std::mem::take(&mut peer.standing);
+            peer.letters.clear();
+            let trunks = peer.trunks.clone();
+            for sess in lost {
+                self.over(sess, Ending::Lost, true);
+            }
+            return trunks.into_iter().for_each(|trunk| self.spoil(now, trunk));
+        }
+        let up = |trunk: &&Trunk| self.trunks.get(trunk).is_some_and(|line| line.up);
+        let on = peer.trunks.iter().find(up).copied();
+        let dialing = peer.trunks.iter().any(|trunk| self.trunks.get(trunk).is_some_and(|line| !line.up));
+        match (on, peer.tested) {
+            (Some(trunk), None) if after(peer.heard, QUIET) => {
+                peer.tested = Some(now);
+                self.echo(trunk, None);
+            }
+            (Some(_), Some(at)) if after(at, TEST) && !dialing => self.dial(now, node),
+            (None, _) if !dialing && after(peer.dialed, REDIAL) => self.dial(now, node),
+            _ => {}
+        }
+    }
+}
+
+/// A report: figures by the names of the settings, as in `x0:0.12;x1:0.4`.
+fn read_load(text: &str) -> Load {
+    let mut load = Load::default();
+    for (name, value) in text.split(';').filter_map(|pair| pair.split_once(':')) {
+        let value = figure(value);
+        match ashglade_site::gauge(name) {
+            Gauge::Link => load.link = value,
+            Gauge::Uplink => load.uplink = value,
+            Gauge::Streams => load.streams = value,
+            Gauge::Other => {}
+        }
+    }
+    load
+}
--- a/crates/wirehost/src/headend.rs
+++ b/crates/site/src/lib.rs
@@ -1,4 +1,5 @@
-//! Reads the settings of an instance into what its director is told at start.
+//! Reads the settings object that simulator and platform alike hand to a director: into what the module is told at
+//! start, and into the names and limits that a front needs. Nothing here decides.
 
 use ashglade::ids::{Rung, Zone};
 use ashglade::interface::{Care, Gauge, Headend, Ration, Reach, ServiceGroup};
@@ -22,6 +23,17 @@
     services: Vec<Service>,
     #[serde(default)]
     telemetry: Telemetry,
+    #[serde(default)]
+    azs: Vec<String>,
+    #[serde(default)]
+    host_types: Vec<String>,
+    #[serde(default)]
+    tenants: Vec<Tenant>,
+}
+
+#[derive(Deserialize)]
+struct Tenant {
+    name: String,
 }
 
 #[derive(Deserialize)]
@@ -71,6 +83,12 @@
     probing: bool,
     #[serde(default)]
     retry_after: bool,
+    #[serde(default)]
+    max_streams: Option<f64>,
+    #[serde(default)]
+    dial_timeout: Option<f64>,
+    #[serde(default)]
+    conn_idle: Option<f64>,
 }
 
 #[derive(Deserialize)]
@@ -90,7 +108,11 @@
 #[derive(Deserialize)]
 #[serde(rename_all = "camelCase")]
 struct Service {
+    #[serde(default)]
+    name: String,
     aim: f64,
+    #[serde(default)]
+    deadline: Option<f64>,
     credit: f64,
     effect: String,
     #[serde(default)]
@@ -107,8 +129,57 @@
     via: String,
 }
 
-pub fn read(seed: u64, text: &[u8]) -> Result<Headend, String> {
+/// All that is read from the settings.
+#[derive(Clone, Debug)]
+pub struct Site {
+    pub headend: Headend,
+    pub names: Names,
+    /// By service group: the longest time that a viewer waits for an answer, where told.
+    pub setup_timeouts: Vec<Option<Span>>,
+    /// SETUPs on one connection at once, where told.
+    pub streams: Option<usize>,
+    /// A connection that isn't up by then doesn't come up.
+    pub dial_timeout: Span,
+    /// Idle connections close after this.
+    pub idle: Option<Span>,
+}
+
+/// What the settings name; an id is a name's place in its list.
+#[derive(Clone, Debug, Default)]
+pub struct Names {
+    pub groups: Vec<String>,
+    pub tenants: Vec<String>,
+    pub zones: Vec<String>,
+    pub models: Vec<String>,
+}
+
+/// A name's place in its list.
+pub fn place(names: &[String], name: &str) -> Option<usize> {
+    names.iter().position(|known| known == name)
+}
+
+const DIAL_TIMEOUT_MS: f64 = 250.0;
+
+pub fn read(seed: u64, text: &[u8]) -> Result<Site, String> {
     let conf: Conf = serde_json::from_slice(text).map_err(|e| format!("settings: {e}"))?;
+    let headend = headend(seed, &conf)?;
+    let limits = &conf.limits;
+    Ok(Site {
+        headend,
+        setup_timeouts: conf.services.iter().map(|s| s.deadline.map(Span::from_ms)).collect(),
+        streams: limits.max_streams.map(|most| (most as usize).max(1)),
+        dial_timeout: Span::from_ms(limits.dial_timeout.unwrap_or(DIAL_TIMEOUT_MS)),
+        idle: limits.conn_idle.map(Span::from_ms),
+        names: Names {
+            groups: conf.services.into_iter().map(|s| s.name).collect(),
+            tenants: conf.tenants.into_iter().map(|t| t.name).collect(),
+            zones: conf.azs,
+            models: conf.host_types,
+        },
+    })
+}
+
+fn headend(seed: u64, conf: &Conf) -> Result<Headend, String> {
     let family = &conf.family_info;
     if family.ladder_kb.is_empty() || family.level_worth.len() != family.ladder_kb.len() {
         return Err(
@@ -183,7 +254,8 @@
     })
 }
 
-fn gauge(name: &str) -> Gauge {
+/// What a figure of a load report tells, by its name.
+pub fn gauge(name: &str) -> Gauge {
     match name {
         "inflight" => Gauge::Streams,
         "util" | "x0" => Gauge::Link,
--- a/crates/wirehost/src/host.rs
+++ b/crates/wirehost/src/host.rs
@@ -9,7 +9,6 @@
 use ashglade::time::{Instant, Span};
 
 use crate::frames::{ENTRY, Fields, HEADER, Reply, Trouble};
-use crate::headend;
 
 /// Bytes of a message between directors, at most.
 const MOST_TOLD: usize = 256;
@@ -54,9 +53,9 @@
                     let mut fields = Fields::new(frame, at + 1);
                     let seed = fields.u64()?;
                     let from = fields.at() as u64;
-                    let headend =
-                        headend::read(seed, fields.text()?).map_err(|what| Trouble::new(from, what))?;
-                    self.directors.insert(instance, Director::start(&headend, now));
+                    let site =
+                        ashglade_site::read(seed, fields.text()?).map_err(|what| Trouble::new(from, what))?;
+                    self.directors.insert(instance, Director::start(&site.headend, now));
                 }
                 Turn::Ends => drop(self.directors.remove(&instance)),
                 Turn::News(news) => {
--- a/crates/wirehost/src/main.rs
+++ b/crates/wirehost/src/main.rs
@@ -1,7 +1,6 @@
 //! Hosts directors on the simulator's wire: batches on standard input, a reply for each on standard output.
 
 mod frames;
-mod headend;
 mod host;
 #[cfg(test)]
 mod tests;
