--- a/crates/platform/src/board.rs
+++ b/crates/platform/src/board.rs
@@ -237,7 +237,7 @@
             Effect::SendBack { sess } => {
                 let tag = self.calls.get(&sess).map(|call| call.tag);
                 if let Some(line) = tag.and_then(|tag| message::write(Verb::Move, tag, &[], None, None)) {
-                    self.to_viewer(sess, line);
+                    self.tell_viewer(sess, line);
                 }
                 self.release(now, sess);
                 self.inputs.push(Input::Over { sess, how: Ending::Cancelled });
@@ -413,7 +413,7 @@
     }
 
     /// On the connection of its set-up, or on any other of the same client.
-    pub(crate) fn to_viewer(&mut self, sess: Sess, line: Bytes) {
+    pub(crate) fn tell_viewer(&mut self, sess: Sess, line: Bytes) {
         let Some(call) = self.calls.get(&sess) else { return };
         let own = Some(call.link).filter(|link| self.viewers.contains_key(link));
         let other = || self.viewers.iter().find(|(_, v)| v.from == call.from).map(|(&link, _)| link);
@@ -428,7 +428,7 @@
         let Some(tag) = self.calls.get(&sess).map(|call| call.tag) else { return };
         let line = message::write(Verb::Finish, tag, &[], Some(causes::of_over(how)), None);
         if let Some(line) = line.filter(|_| owed) {
-            self.to_viewer(sess, line);
+            self.tell_viewer(sess, line);
         }
         self.forget_standing(sess);
         self.settle(sess);
--- a/crates/platform/src/config.rs
+++ b/crates/platform/src/config.rs
@@ -38,7 +38,9 @@
 
 impl Config {
     pub fn read(text: &str) -> Result<Config, String> {
-        let raw: Raw = serde_json::from_str(text).map_err(|e| e.to_string())?;
+        let json = &mut serde_json::Deserializer::from_str(text);
+        let raw: Raw = serde_path_to_error::deserialize(&mut *json).map_err(|e| ashglade_site::field(&e))?;
+        json.end().map_err(|e| e.to_string())?;
         let seed = u64::from_str_radix(&raw.seed, 16)
             .map_err(|_| format!("seed: {:?} is not a number of up to 16 hex digits", raw.seed))?;
         if raw.limits.sockets < 16 {
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -17,3 +17,8 @@
 pub use config::Config;
 pub use line::Lines;
 pub use message::{Message, Tag, Verb};
+
+#[cfg(test)]
+mod same_tests;
+#[cfg(test)]
+mod tests;
--- a/crates/platform/src/message.rs
+++ b/crates/platform/src/message.rs
@@ -139,6 +139,10 @@
 impl Message {
     /// Reads one line. A tag that isn't one is left out: whether that matters depends on who sent it.
     pub fn read(line: &[u8]) -> Result<Message, serde_json::Error> {
+        // A list of the same values would be read as well, and is no message.
+        if line.trim_ascii_start().first().is_some_and(|&first| first != b'{') {
+            return Err(serde_json::Error::custom("an object is wanted"));
+        }
         let raw: Raw = serde_json::from_slice(line)?;
         Ok(Message {
             verb: raw.verb,
--- a/crates/platform/src/peers.rs
+++ b/crates/platform/src/peers.rs
@@ -88,6 +88,9 @@
             });
             peer.removed = entry.removed;
             peer.address = entry.address.or(peer.address).filter(|_| !entry.removed);
+            if entry.removed {
+                peer.letters.clear();
+            }
             if let Some(started) = entry.place.started {
                 self.started_again(now, entry.node, started);
             }
@@ -96,6 +99,7 @@
             nodes.push(Told { node, place: None });
             if let Some(peer) = self.peers.get_mut(&node) {
                 (peer.removed, peer.address) = (true, None);
+                peer.letters.clear();
             }
         }
         self.inputs.push(Input::Told { whole: news.whole, nodes });
@@ -235,6 +239,10 @@
         }
         let Some(peer) = self.peers.get_mut(&node) else { return };
         peer.trunks.remove(&trunk);
+        if fall == Fall::NeverUp && peer.standing.is_empty() {
+            // Nobody is there to be told anything.
+            peer.letters.clear();
+        }
         if fall == Fall::Refused {
             // Its process has ended, and all that it had.
             peer.letters.clear();
@@ -473,6 +481,9 @@
     fn look_at(&mut self, now: Instant, node: Node) {
         let Some(peer) = self.peers.get_mut(&node) else { return };
         let after = |at: Instant, secs: f64| now - at > Span::from_secs(secs);
+        if peer.trunks.is_empty() && !peer.letters.is_empty() && after(peer.dialed, REDIAL) {
+            return self.dial(now, node);
+        }
         if peer.standing.is_empty() {
             let open = |trunk: &Trunk| self.trunks.get(trunk).is_some_and(|line| !line.open.is_empty());
             if peer.removed && peer.waiting.is_empty() && !peer.trunks.iter().any(open) {
--- /dev/null
+++ b/crates/platform/src/tests.rs
@@ -0,0 +1,507 @@
+//! Stories on the switchboard, and what is refused at its edges.
+
+use std::collections::BTreeMap;
+use std::fmt::Write;
+use std::net::IpAddr;
+
+use ashglade::time::{Instant, Span};
+use bytes::{Bytes, BytesMut};
+use expect_test::{Expect, expect};
+use proptest::prelude::*;
+use tokio_util::codec::Decoder;
+
+use crate::board::Fall;
+use crate::bus::Batch;
+use crate::{Action, Board, Config, Event, Lines, Link, Message, Trunk, ask, line};
+
+/// Three nodes in one cell each; every title is held by all of them.
+pub const CONFIG: &str = r#"{"name": "d0", "listen": "127.0.0.1:0", "seed": "8c1f30d27a5be964", "bus": "127.0.0.1:1",
+    "limits": {"cores": 0.5, "memory_mb": 32, "sockets": 64},
+    "known": {"offset": 1, "batch": [{"offset": 1, "topology": {"index": 1, "snapshot": true, "endpoints": [
+        {"name": "a", "address": "10.0.0.1:80", "zone": "east", "type": "std", "group": 0, "status": "up", "weight": 4},
+        {"name": "b", "address": "10.0.0.2:80", "zone": "east", "type": "std", "group": 1, "status": "up", "weight": 4},
+        {"name": "c", "address": "10.0.0.3:80", "zone": "east", "type": "std", "group": 2, "status": "up", "weight": 4}
+    ]}}]},
+    "settings": {"balancers": 1, "myZone": 0, "azs": ["east"], "hostTypes": ["std"], "tenants": [{"name": "acme"}],
+        "familyInfo": {"ladderKb": [100, 200, 400], "levelWorth": [0.3, 0.6, 1], "linkUnitKb": 1000, "positions": 3,
+            "kindStreams": [20], "see": 800},
+        "limits": {"mostTries": 3, "cancelling": true, "dialTimeout": 250},
+        "rules": {"fall": 2000, "fallMultiple": 2, "startCapacity": 0.5, "warmAfter": 10000},
+        "services": [{"name": "clip", "aim": 800, "deadline": 3000, "credit": 1, "effect": "retryable"}]}}"#;
+
+/// The session that plays when the director starts.
+const HANDED_OVER: u64 = 0xa0;
+
+pub struct Stage {
+    board: Board,
+    config: Config,
+    now: Instant,
+    dialed: BTreeMap<Trunk, String>,
+    shown: String,
+}
+
+impl Stage {
+    /// A director that has passed its first test; one session plays at `a` already.
+    pub fn begun() -> Stage {
+        let config = Config::read(CONFIG).unwrap();
+        let now = Instant::from_ms(1e9);
+        let mut board = Board::new(&config, now);
+        let news = config.known.clone().after(0).into_iter().map(|e| e.news(&config.site.names)).collect();
+        board.turn(now, [Event::Bus(news)]);
+        let mut stage = Stage { board, config, now, dialed: BTreeMap::new(), shown: String::new() };
+        stage.opens(0).says(0, r#"{"verb":"ECHO","tag":"00000000000000ee","opts":{},"rc":0}"#);
+        stage.says(0, &start(HANDED_OVER, "home:0;copies:3;top:2;at:a", "handed over"));
+        stage.waits(101.0);
+        stage
+    }
+
+    pub fn turn(&mut self, events: impl IntoIterator<Item = Event>) -> &mut Stage {
+        for action in self.board.turn(self.now, events) {
+            let text = |line: &Bytes| String::from_utf8_lossy(line).trim_end().replace("00000000000000", "");
+            let told = match action {
+                Action::ToViewer(link, line) => format!("viewer {} < {}", link.0, text(&line)),
+                Action::CloseViewer(link) => format!("viewer {} closed", link.0),
+                Action::Dial(trunk, address) => {
+                    let name =
+                        ["a", "b", "c"].get(usize::from(address.ip().to_string().as_bytes()[7] - b'1'));
+                    let name = format!("{}{}", name.unwrap_or(&"?"), trunk.0);
+                    let told = format!("dial {name}");
+                    self.dialed.insert(trunk, name);
+                    told
+                }
+                Action::ToNode(trunk, line) => format!("node {} < {}", self.dialed[&trunk], text(&line)),
+                Action::HangUp(trunk) => format!("hang up {}", self.dialed[&trunk]),
+            };
+            let _ = writeln!(self.shown, "{told}");
+        }
+        self
+    }
+
+    pub fn opens(&mut self, link: u64) -> &mut Stage {
+        self.turn([Event::Opened(Link(link), IpAddr::from([10, 9, 9, link as u8]))])
+    }
+
+    pub fn says(&mut self, link: u64, line: &str) -> &mut Stage {
+        let message = Message::read(line.as_bytes()).unwrap();
+        self.turn([Event::Said(Link(link), message)])
+    }
+
+    pub fn asks(&mut self, link: u64, tag: u64) -> &mut Stage {
+        self.says(link, &start(tag, "home:0;copies:3;top:2", "v=0"))
+    }
+
+    fn trunk(&self, name: &str) -> Trunk {
+        *self.dialed.iter().find(|(_, known)| *known == name).unwrap().0
+    }
+
+    pub fn up(&mut self, name: &str) -> &mut Stage {
+        let trunk = self.trunk(name);
+        self.turn([Event::Up(trunk)])
+    }
+
+    pub fn down(&mut self, name: &str, fall: Fall) -> &mut Stage {
+        let trunk = self.trunk(name);
+        self.turn([Event::Down(trunk, fall)])
+    }
+
+    pub fn node(&mut self, name: &str, verb: &str, tag: u64, rest: &str) -> &mut Stage {
+        let line = format!(r#"{{"verb":"{verb}","tag":"{tag:016x}"{rest}}}"#);
+        let event = Event::Heard(self.trunk(name), Message::read(line.as_bytes()).unwrap());
+        self.turn([event])
+    }
+
+    pub fn bus(&mut self, batch: &str, held: u64) -> &mut Stage {
+        let batch: Batch = serde_json::from_str(batch).unwrap();
+        let names = self.config.site.names.clone();
+        self.turn([Event::Bus(batch.after(held).into_iter().map(|e| e.news(&names)).collect())])
+    }
+
+    /// Lets time pass, in steps as they fall due; each step that shows something is marked with its time.
+    pub fn waits(&mut self, ms: f64) -> &mut Stage {
+        let (from, until) = (self.now, self.now + Span::from_ms(ms));
+        loop {
+            self.now = self.board.next_due().max(self.now).min(until);
+            let before = self.shown.len();
+            self.turn([]);
+            if self.shown.len() > before {
+                self.shown.insert_str(before, &format!("after {:.0} ms:\n", (self.now - from).as_ms()));
+            }
+            if self.now >= until {
+                return self;
+            }
+        }
+    }
+
+    pub fn shown(&mut self) -> String {
+        std::mem::take(&mut self.shown)
+    }
+
+    pub fn shows(&mut self, expected: Expect) -> &mut Stage {
+        expected.assert_eq(&std::mem::take(&mut self.shown));
+        self
+    }
+}
+
+fn start(tag: u64, extras: &str, description: &str) -> String {
+    format!(
+        r#"{{"verb":"START","tag":"{tag:016x}","opts":{{"class":"clip","left":"3000","tenant":"acme","key":"7f3a","extras":"{extras}"}},"blob":"{description}"}}"#
+    )
+}
+
+#[test]
+fn a_session_plays_and_is_ended_by_its_viewer_or_its_node() {
+    let mut stage = Stage::begun();
+    stage.up("a0").node("a0", "NOTICE", 0xa0, r#","opts":{"note":"r","value":1}"#);
+    stage.opens(1).asks(1, 0x01).up("c1");
+    stage.node("c1", "PENDING", 0x01, "").node("c1", "STARTED", 0x01, r#","opts":{},"blob":"m=1""#);
+    // A second copy and an answer ahead, under an id that nobody asked for, are no answers.
+    stage.node("c1", "STARTED", 0x01, r#","opts":{},"blob":"m=2""#);
+    stage.node("c1", "STARTED", 0x77, r#","opts":{},"blob":"m=1""#).shows(expect![[r#"
+        viewer 0 < {"verb":"ECHOED","tag":"ee","opts":{},"rc":1}
+        dial a0
+        dial c1
+        node c1 < {"verb":"START","tag":"01","opts":{"class":"clip","key":"7f3a","left":"400","rung":"2"},"blob":"v=0"}
+        viewer 1 < {"verb":"STARTED","tag":"01","opts":{},"blob":"m=1"}
+    "#]]);
+    // The viewer ends it: its node hears of it, and what the node then says is owed to nobody.
+    stage.says(1, r#"{"verb":"FINISH","tag":"0000000000000001","opts":{},"rc":16}"#);
+    stage.node("c1", "FINISH", 0x01, r#","opts":{},"rc":31"#);
+    // The node ends the one that was handed over.
+    stage.node("a0", "FINISH", 0xa0, r#","opts":{"load":"x0:0.5"},"rc":16"#).shows(expect![[r#"
+        node c1 < {"verb":"FINISH","tag":"01","opts":{},"rc":16}
+        viewer 0 < {"verb":"FINISH","tag":"a0","opts":{},"rc":16}
+    "#]]);
+}
+
+#[test]
+fn what_cant_be_used_is_refused_and_leaves_others_alone() {
+    let mut stage = Stage::begun();
+    stage.up("a0").opens(1).asks(1, 0x01).opens(2).shows(expect![[r#"
+        viewer 0 < {"verb":"ECHOED","tag":"ee","opts":{},"rc":1}
+        dial a0
+        dial c1
+    "#]]);
+    // The id of an open set-up, elsewhere: refused there, and the first goes on.
+    stage.says(2, &start(0x01, "home:0;copies:3;top:2", "other")).up("c1");
+    // Two under one number on one connection: neither is served.
+    stage.asks(2, 0x02).says(2, &start(0x02, "home:0;copies:3;top:2", "other")).shows(expect![[r#"
+        viewer 2 < {"verb":"FINISH","tag":"01","opts":{},"rc":100}
+        node c1 < {"verb":"START","tag":"01","opts":{"class":"clip","key":"7f3a","left":"400","rung":"2"},"blob":"v=0"}
+        node a0 < {"verb":"START","tag":"02","opts":{"class":"clip","key":"7f3a","left":"400","rung":"2"},"blob":"v=0"}
+        viewer 2 < {"verb":"FINISH","tag":"02","opts":{},"rc":100}
+        node a0 < {"verb":"FINISH","tag":"02","opts":{},"rc":16}
+    "#]]);
+    // A viewer's message is not a node's; a withdrawal of what nobody holds is nothing.
+    stage.says(2, r#"{"verb":"FINISH","tag":"0000000000000077","opts":{},"rc":16}"#);
+    stage.says(2, r#"{"verb":"STARTED","tag":"0000000000000001","opts":{},"blob":"m=1"}"#);
+    // Half a session and a close: given up at its node.
+    stage.turn([Event::Closed(Link(1))]).shows(expect![[r#"
+        viewer 2 closed
+        node c1 < {"verb":"FINISH","tag":"01","opts":{},"rc":16}
+    "#]]);
+    // Nobody who says nothing is kept, nor anyone who carries nothing any longer.
+    stage.opens(3).opens(4).asks(4, 0x04);
+    stage.says(4, r#"{"verb":"FINISH","tag":"0000000000000004","opts":{},"rc":16}"#);
+    stage.waits(6000.0).shows(expect![[r#"
+        dial b2
+        after 399 ms:
+        node a0 < {"verb":"RATE","tag":"a0","opts":{"rung":"1"}}
+        after 2149 ms:
+        node a0 < {"verb":"ECHO","tag":"8c1f30d27a5be964","opts":{},"rc":0}
+        after 2399 ms:
+        viewer 3 closed
+        after 3399 ms:
+        dial a3
+        after 5149 ms:
+        viewer 4 closed
+        viewer 0 < {"verb":"FINISH","tag":"a0","opts":{},"rc":41}
+        hang up a0
+        hang up a3
+        after 5399 ms:
+        viewer 0 closed
+    "#]]);
+}
+
+#[test]
+fn a_spoilt_connection_is_dropped_for_all_that_is_open_on_it() {
+    let mut stage = Stage::begun();
+    stage.up("a0").opens(1).asks(1, 0x01).up("c1").asks(1, 0x02).shows(expect![[r#"
+        viewer 0 < {"verb":"ECHOED","tag":"ee","opts":{},"rc":1}
+        dial a0
+        dial c1
+        node c1 < {"verb":"START","tag":"01","opts":{"class":"clip","key":"7f3a","left":"400","rung":"2"},"blob":"v=0"}
+        node a0 < {"verb":"START","tag":"02","opts":{"class":"clip","key":"7f3a","left":"400","rung":"2"},"blob":"v=0"}
+    "#]]);
+    // What may stand there unknown is released on the next connection.
+    stage.down("c1", Fall::Spoilt).shows(expect![[r#"
+        dial b2
+    "#]]);
+    stage.waits(400.0).up("c3").shows(expect![[r#"
+        after 399 ms:
+        dial c3
+        node a0 < {"verb":"RATE","tag":"a0","opts":{"rung":"1"}}
+        after 400 ms:
+        node a0 < {"verb":"FINISH","tag":"02","opts":{},"rc":16}
+        hang up a0
+        dial a4
+        node c3 < {"verb":"FINISH","tag":"01","opts":{},"rc":16}
+        node c3 < {"verb":"START","tag":"02","opts":{"class":"clip","key":"7f3a","left":"200","rung":"2"},"blob":"v=0"}
+    "#]]);
+}
+
+#[test]
+fn a_set_up_that_was_given_up_is_released_when_it_stands_after_all() {
+    let mut stage = Stage::begun();
+    stage.up("a0").opens(1).asks(1, 0x01).up("c1");
+    // Heard of since: the connection is well, the answer is late.
+    stage.waits(200.0).node("c1", "PENDING", 0x01, "").waits(250.0).shows(expect![[r#"
+        viewer 0 < {"verb":"ECHOED","tag":"ee","opts":{},"rc":1}
+        dial a0
+        dial c1
+        node c1 < {"verb":"START","tag":"01","opts":{"class":"clip","key":"7f3a","left":"400","rung":"2"},"blob":"v=0"}
+        after 199 ms:
+        node a0 < {"verb":"RATE","tag":"a0","opts":{"rung":"1"}}
+        after 200 ms:
+        node c1 < {"verb":"FINISH","tag":"01","opts":{},"rc":16}
+        dial b2
+    "#]]);
+    stage.node("c1", "STARTED", 0x01, r#","opts":{},"blob":"m=1""#).shows(expect![[r#"
+        node c1 < {"verb":"FINISH","tag":"01","opts":{},"rc":16}
+    "#]]);
+}
+
+#[test]
+fn a_connection_without_a_word_since_a_set_up_is_given_up_with_it() {
+    let mut stage = Stage::begun();
+    stage.up("a0").opens(1).asks(1, 0x01).up("c1").waits(450.0).shows(expect![[r#"
+        viewer 0 < {"verb":"ECHOED","tag":"ee","opts":{},"rc":1}
+        dial a0
+        dial c1
+        node c1 < {"verb":"START","tag":"01","opts":{"class":"clip","key":"7f3a","left":"400","rung":"2"},"blob":"v=0"}
+        after 399 ms:
+        node a0 < {"verb":"RATE","tag":"a0","opts":{"rung":"1"}}
+        after 400 ms:
+        node c1 < {"verb":"FINISH","tag":"01","opts":{},"rc":16}
+        hang up c1
+        dial c2
+        dial b3
+    "#]]);
+}
+
+#[test]
+fn a_machine_that_vanishes_unsaid_costs_its_viewers_less_than_eight_seconds() {
+    let mut stage = Stage::begun();
+    stage
+        .up("a0")
+        .shows(expect![[r#"
+        viewer 0 < {"verb":"ECHOED","tag":"ee","opts":{},"rc":1}
+        dial a0
+    "#]])
+        .waits(8000.0)
+        .shows(expect![[r#"
+        after 399 ms:
+        node a0 < {"verb":"RATE","tag":"a0","opts":{"rung":"1"}}
+        after 2149 ms:
+        node a0 < {"verb":"ECHO","tag":"8c1f30d27a5be964","opts":{},"rc":0}
+        after 3399 ms:
+        dial a1
+        after 5149 ms:
+        viewer 0 < {"verb":"FINISH","tag":"a0","opts":{},"rc":41}
+        hang up a0
+        hang up a1
+        after 5399 ms:
+        viewer 0 closed
+    "#]]);
+}
+
+#[test]
+fn a_node_that_refuses_has_lost_its_sessions_and_one_that_was_only_reset_has_not() {
+    let mut stage = Stage::begun();
+    stage.up("a0").shows(expect![[r#"
+        viewer 0 < {"verb":"ECHOED","tag":"ee","opts":{},"rc":1}
+        dial a0
+    "#]]);
+    stage.waits(500.0).down("a0", Fall::Lost).up("a1").waits(500.0);
+    stage.node("a1", "NOTICE", 0xa0, r#","opts":{"note":"d","value":0.5}"#).shows(expect![[r#"
+        after 399 ms:
+        node a0 < {"verb":"RATE","tag":"a0","opts":{"rung":"1"}}
+        dial a1
+    "#]]);
+    stage.down("a1", Fall::Lost).down("a2", Fall::Refused).shows(expect![[r#"
+        dial a2
+        viewer 0 < {"verb":"FINISH","tag":"a0","opts":{},"rc":41}
+    "#]]);
+}
+
+#[test]
+fn a_node_of_a_new_name_at_an_old_address_is_another_and_one_started_again_has_lost_all() {
+    let mut stage = Stage::begun();
+    stage.up("a0").opens(1).asks(1, 0x01).up("c1").node("c1", "STARTED", 0x01, r#","opts":{},"blob":"m=1""#);
+    stage.shows(expect![[r#"
+        viewer 0 < {"verb":"ECHOED","tag":"ee","opts":{},"rc":1}
+        dial a0
+        dial c1
+        node c1 < {"verb":"START","tag":"01","opts":{"class":"clip","key":"7f3a","left":"400","rung":"2"},"blob":"v=0"}
+        viewer 1 < {"verb":"STARTED","tag":"01","opts":{},"blob":"m=1"}
+    "#]]);
+    // A gap: nothing is taken but what follows.
+    stage.bus(
+        r#"{"offset":9,"batch":[{"offset":9,"topology":{"endpoints":[{"name":"c","status":"removed"}]}}]}"#,
+        1,
+    );
+    stage.waits(1000.0).shows(expect![[r#"
+        after 399 ms:
+        node a0 < {"verb":"RATE","tag":"a0","opts":{"rung":"1"}}
+    "#]]);
+    let d = r#"{"name":"d","address":"10.0.0.3:80","zone":"east","type":"std","group":2,"status":"up","weight":4}"#;
+    let c = r#"{"name":"c","address":"10.0.0.3:80","zone":"east","type":"std","group":2,"status":"removed","weight":4}"#;
+    let a = r#"{"name":"a","address":"10.0.0.1:80","zone":"east","type":"std","group":0,"status":"up","weight":4,"since_ms":1000000900}"#;
+    stage.bus(
+        &format!(r#"{{"offset":2,"batch":[{{"offset":2,"topology":{{"endpoints":[{c},{d},{a}]}}}}]}}"#),
+        1,
+    );
+    stage.shows(expect![[r#"
+        viewer 0 < {"verb":"FINISH","tag":"a0","opts":{},"rc":41}
+        hang up a0
+    "#]]);
+    // What c still says on its old connection is c's; when that ends, nothing is asked at the address.
+    stage.node("c1", "NOTICE", 0x01, r#","opts":{"note":"d","value":0.5}"#).down("c1", Fall::Lost);
+    stage.waits(300.0).shows(expect![[r#"
+        node c1 < {"verb":"RATE","tag":"01","opts":{"rung":"1"}}
+        after 149 ms:
+        viewer 1 < {"verb":"FINISH","tag":"01","opts":{},"rc":41}
+    "#]]);
+}
+
+#[test]
+fn near_its_end_a_director_fails_tests_and_serves_what_comes() {
+    let mut stage = Stage::begun();
+    stage.up("a0").turn([Event::Stopping]).opens(1);
+    stage.says(1, r#"{"verb":"ECHO","tag":"00000000000000ee","opts":{},"rc":0}"#).asks(1, 0x01).shows(
+        expect![[r#"
+            viewer 0 < {"verb":"ECHOED","tag":"ee","opts":{},"rc":1}
+            dial a0
+            viewer 1 < {"verb":"ECHOED","tag":"ee","opts":{},"rc":0}
+            dial c1
+        "#]],
+    );
+}
+
+#[test]
+fn every_field_of_a_set_up_is_checked() {
+    let site = Config::read(CONFIG).unwrap().site;
+    let good = start(1, "home:0;copies:3;top:2", "v=0");
+    let swap = |from: &str, to: &str| good.replace(from, to);
+    let told: String = [
+        good.clone(),
+        swap("\"clip\"", "\"film\""),
+        swap("\"acme\"", "\"nobody\""),
+        swap("\"3000\"", "\"-3\""),
+        swap("\"3000\"", "1e300"),
+        swap("\"3000\"", "\"NaN\""),
+        swap("\"7f3a\"", "\"7f3a9c21e0b4d65501\""),
+        swap("home:0", "home:3"),
+        swap("home:0", "home:0;home:1"),
+        swap("copies:3", "copies:0"),
+        swap("top:2", "top:1.5"),
+        swap("top:2", "top"),
+        swap(",\"blob\":\"v=0\"", ""),
+    ]
+    .iter()
+    .map(|line| match ask::read(&Message::read(line.as_bytes()).unwrap(), &site) {
+        Ok(ask) => format!("{:?} of {}\n", ask.want.title, ask.class),
+        Err(trouble) => format!("{trouble}\n"),
+    })
+    .collect();
+    expect![[r#"
+        Title(32570) of clip
+        class: "film" is unknown
+        tenant: "nobody" is unknown
+        left: "-3" is not up to 3000 ms
+        left: "1e+300" is not up to 3000 ms
+        left: "NaN" is not up to 3000 ms
+        key: "7f3a9c21e0b4d65501" is not a title
+        home: "3" is not from 0 to 2
+        extras: home twice
+        copies: "0" is not from 1 to 3
+        top: "1.5" is not from 0 to 255
+        extras: "top" has no value
+        blob: is missing
+    "#]]
+    .assert_eq(&told);
+}
+
+#[test]
+fn what_cant_be_read_is_told_with_its_place() {
+    let told: String = [
+        "",
+        "{",
+        "[]",
+        r#"{"verb":"BEGIN"}"#,
+        r#"{"verb":"START","tag":7}"#,
+        r#"{"verb":"START","verb":"ECHO"}"#,
+        r#"{"verb":"START","opts":{"left":"1","left":"2"}}"#,
+        r#"{"verb":"START","opts":{"left":{}}}"#,
+        r#"{"verb":"FINISH","rc":-1}"#,
+        r#"{"verb":"START","blob":"\ud800"}"#,
+        r#"{"verb":"ECHO","tag":"xyz"}"#,
+    ]
+    .iter()
+    .map(|line| match Message::read(line.as_bytes()) {
+        Ok(message) => format!("{message:?}\n"),
+        Err(trouble) => format!("{trouble}\n"),
+    })
+    .collect();
+    expect![[r#"
+        EOF while parsing a value at line 1 column 0
+        EOF while parsing an object at line 1 column 1
+        an object is wanted
+        unknown variant `BEGIN`, expected one of `START`, `PENDING`, `STARTED`, `FINISH`, `FINISHED`, `ECHO`, `ECHOED`, `NOTICE`, `MOVE`, `RATE` at line 1 column 15
+        invalid type: integer `7`, expected a string at line 1 column 23
+        duplicate field `verb` at line 1 column 22
+        two fields named "left" at line 1 column 46
+        data did not match any variant of untagged enum Either at line 1 column 34
+        invalid value: integer `-1`, expected u16 at line 1 column 24
+        unexpected end of hex escape at line 1 column 31
+        Message { verb: Echo, tag: None, opts: Opts({}), cause: None, description: None }
+    "#]].assert_eq(&told);
+}
+
+proptest! {
+    /// Whatever comes, however it is cut: no panic, no more held than a line may be long, and the same lines.
+    #[test]
+    fn lines_are_the_same_however_they_are_cut(bytes in prop::collection::vec(prop_oneof![Just(b'\n'), any::<u8>()], 0..400),
+                                                cuts in prop::collection::vec(1usize..40, 1..40)) {
+        let mut whole: Vec<&[u8]> = bytes.split(|&byte| byte == b'\n').collect();
+        whole.pop();
+        let (mut lines, mut buffer, mut told) = (Lines::default(), BytesMut::new(), Vec::new());
+        let mut rest = &bytes[..];
+        for &cut in cuts.iter().cycle() {
+            if rest.is_empty() {
+                break;
+            }
+            let (now, later) = rest.split_at(cut.min(rest.len()));
+            buffer.extend_from_slice(now);
+            while let Some(line) = lines.decode(&mut buffer).unwrap() {
+                let _ = Message::read(&line);
+                told.push(line);
+            }
+            prop_assert!(!buffer.contains(&b'\n'));
+            rest = later;
+        }
+        prop_assert_eq!(told, whole);
+    }
+
+    /// A line that is too long is refused as soon as it is, with or without its end.
+    #[test]
+    fn a_line_too_long_is_refused_while_it_arrives(over in 1usize..200, ended: bool) {
+        let mut lines = Lines::default();
+        let mut buffer = BytesMut::from(&vec![b'x'; line::MOST][..]);
+        prop_assert!(lines.decode(&mut buffer).unwrap().is_none());
+        buffer.extend_from_slice(&vec![b'x'; over]);
+        if ended {
+            buffer.extend_from_slice(b"\n");
+        }
+        prop_assert!(lines.decode(&mut buffer).is_err());
+    }
+}
--- a/crates/site/src/lib.rs
+++ b/crates/site/src/lib.rs
@@ -153,6 +153,14 @@
     pub models: Vec<String>,
 }
 
+/// The field at fault and what is wrong with it.
+pub fn field(error: &serde_path_to_error::Error<serde_json::Error>) -> String {
+    match error.path().to_string().as_str() {
+        "." => error.inner().to_string(),
+        path => format!("{path}: {}", error.inner()),
+    }
+}
+
 /// A name's place in its list.
 pub fn place(names: &[String], name: &str) -> Option<usize> {
     names.iter().position(|known| known == name)
@@ -161,7 +169,9 @@
 const DIAL_TIMEOUT_MS: f64 = 250.0;
 
 pub fn read(seed: u64, text: &[u8]) -> Result<Site, String> {
-    let conf: Conf = serde_json::from_slice(text).map_err(|e| format!("settings: {e}"))?;
+    let json = &mut serde_json::Deserializer::from_slice(text);
+    let conf: Conf =
+        serde_path_to_error::deserialize(json).map_err(|e| format!("settings: {}", field(&e)))?;
     let headend = headend(seed, &conf)?;
     let limits = &conf.limits;
     Ok(Site {
--- a/crates/wirehost/src/tests.rs
+++ b/crates/wirehost/src/tests.rs
@@ -156,7 +156,7 @@
         news for instance 4, which is not open at byte 23 of the input
         the batch ends within a field of 98784247785 bytes at byte 26 of the input
         a list that was never declared at byte 458 of the input
-        settings: EOF while parsing a value at line 1 column 14 at byte 32 of the input
+        settings: balancers: EOF while parsing a value at line 1 column 14 at byte 32 of the input
         settings: missing field `familyInfo` at line 1 column 29 at byte 32 of the input
         the batch ends within a field of 8 bytes at byte 24 of the input
         input ends within a batch's header at byte 44 of the input"#]]
