Rows of nodes that are gone are used again; every message can be traced

Change: a host may tell a node as gone (Round::node_gone); a new node gets the row of one that is gone and that no session speaks of.

A removed machine may come back under its id: it then starts as a new one, as the list says.

--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -15,7 +15,7 @@
 use crate::notes::Notes;
 use crate::setups::{self, Withdrawn};
 use crate::timers::{Timer, Timers};
-use crate::words::{Answer, Effect, Input, Load, Told, Want, Why};
+use crate::words::{self, Answer, Effect, Input, Load, Told, Want, Why};
 
 /// What an engine is started with.
 #[derive(Clone, Debug)]
@@ -200,7 +200,7 @@
                     self.ready.clear();
                 }
                 for told in &nodes {
-                    if told.place.is_some() {
+                    if matches!(told.standing, words::Standing::Ready(_)) {
                         self.ready.insert(told.node);
                     } else {
                         self.ready.remove(&told.node);
@@ -568,9 +568,10 @@
                 round.list_changes();
             }
             for told in nodes {
-                match told.place {
-                    Some(place) => round.node_ready(told.node, place),
-                    None => round.node_leaves(told.node),
+                match told.standing {
+                    words::Standing::Ready(place) => round.node_ready(told.node, place),
+                    words::Standing::Draining => round.node_leaves(told.node),
+                    words::Standing::Gone => round.node_gone(told.node),
                 }
             }
             round.list_done();
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -24,7 +24,7 @@
 pub use answers::Tally;
 pub use ashglade_door::{Terms as DoorTerms, Turned, View as DoorView};
 pub use engine::{Engine, Start};
-pub use words::{Answer, Effect, Input, Load, Told, Want, Why};
+pub use words::{Answer, Effect, Input, Load, Standing, Told, Want, Why};
 
 #[cfg(test)]
 mod tests;
--- a/crates/engine/src/words.rs
+++ b/crates/engine/src/words.rs
@@ -34,11 +34,19 @@
     pub streams: Option<f64>,
 }
 
-/// A media node as a numbered event tells of it; without a place it drains or is gone.
+/// A media node as a numbered event tells of it.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Told {
     pub node: Node,
-    pub place: Option<Place>,
+    pub standing: Standing,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Standing {
+    Ready(Place),
+    Draining,
+    /// What is held of it may go; it may come back, as a new one.
+    Gone,
 }
 
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
--- a/crates/platform/src/board.rs
+++ b/crates/platform/src/board.rs
@@ -15,7 +15,7 @@
 use ashglade_engine::{Answer, Effect, Engine, Input, Start, Tally};
 use ashglade_site::Site;
 use bytes::Bytes;
-use tracing::debug;
+use tracing::{debug, trace};
 
 use crate::ask::{self, Ask};
 use crate::bus::{News, id_of};
@@ -282,6 +282,7 @@
         if !self.viewers.contains_key(&link) {
             return;
         }
+        trace!(link = link.0, ?message, "said");
         match (message.verb, message.tag) {
             (Verb::Start, Some(tag)) => self.asked(now, link, tag, &message),
             (Verb::Finish, Some(tag)) => {
--- a/crates/platform/src/peers.rs
+++ b/crates/platform/src/peers.rs
@@ -10,9 +10,9 @@
 use ashglade::ids::{Node, Rung, Sess, SetupNo};
 use ashglade::interface::{Ending, Gauge};
 use ashglade::time::{Instant, Span};
-use ashglade_engine::{Input, Load, Told};
+use ashglade_engine::{Input, Load, Standing, Told};
 use bytes::Bytes;
-use tracing::debug;
+use tracing::{debug, trace};
 
 use crate::board::{Action, Board, Fall, Out, Trunk};
 use crate::bus::News;
@@ -71,7 +71,12 @@
         let mut nodes = Vec::with_capacity(news.entries.len());
         for entry in news.entries {
             left.remove(&entry.node);
-            nodes.push(Told { node: entry.node, place: entry.ready.then_some(entry.place) });
+            let standing = match (entry.ready, entry.removed) {
+                (true, _) => Standing::Ready(entry.place),
+                (_, true) => Standing::Gone,
+                _ => Standing::Draining,
+            };
+            nodes.push(Told { node: entry.node, standing });
             let name = entry.name;
             let peer = self.peers.entry(entry.node).or_insert_with(|| Peer {
                 name,
@@ -96,7 +101,7 @@
             }
         }
         for node in left {
-            nodes.push(Told { node, place: None });
+            nodes.push(Told { node, standing: Standing::Gone });
             if let Some(peer) = self.peers.get_mut(&node) {
                 (peer.removed, peer.address) = (true, None);
                 peer.letters.clear();
@@ -150,6 +155,7 @@
         let Some(line) = self.trunks.get_mut(&trunk) else { return };
         line.heard = now;
         let node = line.node;
+        trace!(trunk = trunk.0, ?message, "heard");
         if let Some(peer) = self.peers.get_mut(&node) {
             (peer.heard, peer.tested) = (now, None);
         }
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -545,7 +545,8 @@
 
     pub fn node_ready(&mut self, node: Node, place: Place) {
         let d = &mut *self.d;
-        if let Some(i) = d.fleet.enter(node, place, &d.plant) {
+        let spoken_of = |i: usize| d.sess.iter().any(|(_, s)| s.speaks_of(i));
+        if let Some(i) = d.fleet.enter(node, place, &d.plant, spoken_of) {
             (d.fleet.failed[i], d.fleet.measured[i]) = (None, Instant::LONG_AGO);
         }
     }
@@ -557,6 +558,14 @@
         }
     }
 
+    /// It is gone, be it for a while: its row may be another's once no session speaks of it.
+    pub fn node_gone(&mut self, node: Node) {
+        self.node_leaves(node);
+        if let Some(&i) = self.d.fleet.index.get(&node) {
+            self.d.fleet.gone[i] = true;
+        }
+    }
+
     fn take(&mut self, sess: Sess, want: Viewing) -> Option<()> {
         let d = &mut *self.d;
         let floor = d.plant.terms.get(want.group.0)?.group.floor.0.min(d.plant.top_rung());
--- a/src/state.rs
+++ b/src/state.rs
@@ -197,6 +197,12 @@
         self.told_rung.replace(rung) != Some(rung)
     }
 
+    /// Whether row `i` means anything to it.
+    pub fn speaks_of(&self, i: usize) -> bool {
+        let doubts = self.doubt.is_some_and(|(first, _)| first == i);
+        self.node == Some(i) || doubts || self.tried.contains(&i) || self.awaits.contains(&i)
+    }
+
     pub fn same_seat(&self, other: &Sitting) -> bool {
         self.want.title == other.want.title && self.want.group == other.want.group
     }
@@ -301,6 +307,11 @@
             pub fn grow(&mut self) {
                 $(self.$field.push($new);)*
             }
+
+            /// Row `i` as it was when it was new.
+            pub fn renew(&mut self, i: usize) {
+                $(self.$field[i] = $new;)*
+            }
         }
     };
 }
@@ -316,6 +327,8 @@
         ready: bool = false,
         /// Named by the list that is being read.
         named: bool = false,
+        /// Told as gone: its row may be another's.
+        gone: bool = false,
         rack: usize = 0,
         link: f64 = 0.0,
         /// What other directors ask of the link, and when that was measured.
@@ -337,15 +350,30 @@
 }
 
 impl Fleet {
-    /// Takes what the list tells of a node that is ready; its row, if it started since it was last told of.
-    pub fn enter(&mut self, node: Node, place: Place, plant: &Plant) -> Option<usize> {
+    /// Takes what the list tells of a node that is ready; its row, if it started since it was last told of. A new
+    /// node gets the row of one that is gone and not `spoken_of` by any session, so that rows don't grow with time.
+    pub fn enter(
+        &mut self,
+        node: Node,
+        place: Place,
+        plant: &Plant,
+        spoken_of: impl Fn(usize) -> bool,
+    ) -> Option<usize> {
         let born = place.started.unwrap_or(Instant::LONG_AGO);
-        let next = self.node.len();
-        let i = *self.index.entry(node).or_insert(next);
-        if i == next {
-            self.grow();
+        let i = self.index.get(&node).copied().unwrap_or_else(|| {
+            let free = (0..self.node.len()).find(|&i| self.gone[i] && !spoken_of(i));
+            let i = free.unwrap_or(self.node.len());
+            if free.is_some() {
+                self.index.remove(&self.node[i]);
+                self.renew(i);
+            } else {
+                self.grow();
+            }
+            self.index.insert(node, i);
             (self.node[i], self.born[i]) = (node, born);
-        }
+            i
+        });
+        self.gone[i] = false;
         (self.ready[i], self.named[i], self.zone[i]) = (true, true, place.zone);
         (self.cell[i], self.rack[i]) = (place.cell.0, usize::from(place.cell.0) % plant.racks);
         self.link[i] = place.weight.max(0.0) * plant.link_unit;
@@ -383,3 +411,75 @@
         racks
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::ids::{Cell, Model};
+    use crate::interface::Headend;
+
+    fn plant() -> Plant {
+        Plant::of(&Headend {
+            seed: 1,
+            zone: Zone(0),
+            me: 0,
+            directors: 1,
+            groups: Vec::new(),
+            ladder: vec![(100.0, 1.0)],
+            places: vec![20.0],
+            cells: 3,
+            racks: 1,
+            link_unit: 1.0,
+            uplink: 0.0,
+            join: 1.0,
+            notice: Span::ZERO,
+            gauges: Vec::new(),
+            probe_only: false,
+            may_probe: false,
+            probe_price: 0.0,
+            may_cancel: false,
+            retry_after: None,
+            setups_per_session: 1,
+            ration: None,
+            cold_from: 0.5,
+            warm_after: Span::from_secs(10.0),
+            fall_multiple: 2.0,
+            fall_span: Span::from_secs(2.0),
+            ask_list_within: None,
+        })
+    }
+
+    /// Nodes replaced all day by new ones: rows stay as many as are there at once and one that a session speaks of,
+    /// and a new node has nothing of the one whose row it got.
+    #[test]
+    fn rows_of_nodes_that_are_gone_are_used_again() {
+        let (plant, mut fleet) = (plant(), Fleet::default());
+        let place = Place { zone: Zone(0), model: Model(0), cell: Cell(0), weight: 1.0, started: None };
+        let mut shown = String::new();
+        for n in 0..1000u64 {
+            fleet.enter(Node(n), place, &plant, |i| i == 2);
+            let i = fleet.index[&Node(n)];
+            assert_eq!((fleet.good[i], fleet.failed[i]), (0.0, None));
+            (fleet.good[i], fleet.failed[i]) = (7.0, Some(Instant::from_ms(1.0)));
+            if let Some(old) = n.checked_sub(3) {
+                let row = fleet.index[&Node(old)];
+                (fleet.ready[row], fleet.gone[row]) = (false, true);
+            }
+            if n < 8 || n == 999 {
+                shown += &format!("{n} in row {i}, {} rows, {} names\n", fleet.node.len(), fleet.index.len());
+            }
+        }
+        expect_test::expect![[r#"
+            0 in row 0, 1 rows, 1 names
+            1 in row 1, 2 rows, 2 names
+            2 in row 2, 3 rows, 3 names
+            3 in row 3, 4 rows, 4 names
+            4 in row 0, 4 rows, 4 names
+            5 in row 1, 4 rows, 4 names
+            6 in row 4, 5 rows, 5 names
+            7 in row 3, 5 rows, 5 names
+            999 in row 3, 5 rows, 5 names
+        "#]]
+        .assert_eq(&shown);
+    }
+}
