--- a/crates/cli/tests/platform.rs
+++ b/crates/cli/tests/platform.rs
@@ -19,6 +19,16 @@
 struct Bus {
     events: Mutex<Vec<String>>,
     more: Condvar,
+    /// Troubles of the next answers that tell something, last first.
+    troubles: Mutex<Vec<Trouble>>,
+}
+
+#[derive(PartialEq)]
+enum Trouble {
+    /// Ends in the middle of an event.
+    Breaks,
+    /// Stops there and stays open.
+    Stops,
 }
 
 impl Bus {
@@ -57,9 +67,13 @@
                 let events = self.events.lock().unwrap();
                 let (events, _) = self.more.wait_timeout_while(events, hold, |e| e.len() <= from).unwrap();
                 let body = format!(r#"{{"offset":{},"batch":[{}]}}"#, events.len(), events[from..].join(","));
+                let trouble = if events.len() > from { self.troubles.lock().unwrap().pop() } else { None };
                 drop(events);
                 let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", body.len());
-                if stream.write_all(format!("{head}{body}").as_bytes()).is_err() {
+                let said = if trouble.is_some() { &body[..body.len() / 2] } else { &body };
+                if stream.write_all(format!("{head}{said}").as_bytes()).is_err()
+                    || trouble == Some(Trouble::Breaks)
+                {
                     return;
                 }
             }
@@ -282,6 +296,7 @@
     std::fs::write(&program.config, old.replace(&address.to_string(), &moved.to_string())).unwrap();
     program.signal(Signal::SIGHUP);
     assert_eq!(asked.recv_timeout(PATIENCE).unwrap(), 1);
+    *bus.troubles.lock().unwrap() = vec![Trouble::Stops, Trouble::Breaks];
     bus.tell(&endpoint("n2", &second, 1), false);
     while asked.recv_timeout(PATIENCE).unwrap() < 2 {}
     let mut viewer = Viewer::connect(program.listen);
@@ -299,6 +314,58 @@
     assert!(viewer.hears().contains("STARTED"));
 }
 
+#[test]
+fn spoilt_and_lost_connections_to_nodes_cost_no_viewer_its_answer() {
+    let bus = Arc::new(Bus::default());
+    let (address, asked) = bus.serve();
+    let nodes = [Node::start(), Node::start()];
+    let program = Program::start(address);
+    // Both hold the titles of both cells.
+    bus.tell(&[endpoint("n1", &nodes[0], 0), endpoint("n2", &nodes[1], 1)].join(","), true);
+    while asked.recv_timeout(PATIENCE).unwrap() < 1 {}
+    assert!(Viewer::connect(program.listen).tested().contains(r#""rc":1"#));
+    let mut viewer = Viewer::connect(program.listen);
+    // Each node spoils, or closes under, every SETUP of these titles: none is served, each has its one answer.
+    for (tag, key) in [(1, "bad"), (2, "dead"), (3, "bad")] {
+        viewer.asks(tag, key);
+        let line = viewer.hears();
+        assert!(line.contains("FINISH") && line.contains(&format!("{tag:016x}")), "{line}");
+    }
+    viewer.asks(4, "7f");
+    let line = viewer.hears();
+    assert!(line.contains("STARTED") && line.contains("for 0000000000000004"), "{line}");
+    // What may stand at the first node unknown to anyone is released there.
+    let heard = std::iter::repeat_with(|| nodes[0].next()).take_while(|line| !line.contains("000004"));
+    let released = heard.filter(|line| line.contains("FINISH")).count();
+    assert!(released >= 1, "{released} released");
+}
+
+#[test]
+fn silent_connections_by_the_hundred_keep_nobody_out() {
+    let bus = Arc::new(Bus::default());
+    let (address, asked) = bus.serve();
+    let node = Node::start();
+    let program = Program::start(address);
+    bus.tell(&endpoint("n1", &node, 0), true);
+    while asked.recv_timeout(PATIENCE).unwrap() < 1 {}
+    assert!(Viewer::connect(program.listen).tested().contains(r#""rc":1"#));
+    let mut viewer = Viewer::connect(program.listen);
+    viewer.asks(1, "7f");
+    assert!(viewer.hears().contains("STARTED"));
+    // The configuration gives 64 descriptors.
+    let mut silent: Vec<Viewer> = (0..200).map(|_| Viewer::connect(program.listen)).collect();
+    viewer.asks(2, "7f");
+    assert!(viewer.hears().contains("STARTED"));
+    let mut late = Viewer::connect(program.listen);
+    late.asks(3, "7f");
+    assert!(late.hears().contains("STARTED"));
+    let held = std::fs::read_dir(format!("/proc/{}/fd", program.child.id())).unwrap().count();
+    assert!(held <= 64, "{held} descriptors");
+    for one in &mut silent {
+        assert_eq!(one.hears(), "");
+    }
+}
+
 #[test]
 fn a_configuration_that_cant_be_read_ends_the_program_with_file_and_field() {
     let folder = tempfile::tempdir().unwrap();
