A node shown to go on after a lost connection is not held for cold

One director refused 9 in 10 requests for titles whose holders took them from the other. Guess: policy.rs, ended(): Lost marks a node as failed, so that started() holds it for newly started, with 40% of its link for the warm-up. The switchboard now tells where a process is shown to go on (peers.rs: a connection that comes up at once after one broke that had just carried a word; a connection or session of before that speaks).

--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -60,6 +60,7 @@
     List,
     Told(bool, Vec<Told>),
     UnderWay(Sess, Viewing, Node),
+    WentOn(Node),
     Turns(Vec<usize>, usize),
     Asked(Sess, Viewing),
     Left(Sess),
@@ -219,6 +220,7 @@
                     news.push(News::UnderWay(sess, viewing(want, Span::ZERO), node));
                 }
             }
+            Input::WentOn { node } => news.push(News::WentOn(node)),
             Input::Delivered { node, share } => news.push(News::Delivered(node, share)),
             Input::Asked { sess, want } => self.asked(now, sess, want, news, effects),
             Input::Left { sess } => self.left(now, sess, news, effects),
@@ -576,6 +578,7 @@
             }
             round.list_done();
         }
+        News::WentOn(node) => round.went_on(node),
         News::UnderWay(sess, want, node) => round.under_way(sess, want, node),
         News::Asked(sess, want) => round.asked(sess, want),
         News::Left(sess) => round.left(sess),
--- a/crates/engine/src/words.rs
+++ b/crates/engine/src/words.rs
@@ -112,6 +112,10 @@
         sess: Sess,
         share: f64,
     },
+    /// What failed at this node was not its end: its process is shown to be the one that it was.
+    WentOn {
+        node: Node,
+    },
     /// The share of their rates that sessions at this node get, as the node itself tells it.
     Delivered {
         node: Node,
--- a/crates/platform/src/board.rs
+++ b/crates/platform/src/board.rs
@@ -41,8 +41,10 @@
     NeverUp,
     /// It was closed or reset.
     Lost,
-    /// It carried what can't be read, or fell silent: of no more use to anything open on it.
+    /// It carried what can't be read: of no more use to anything open on it.
     Spoilt,
+    /// It carries nothing: of no more use either, and its node may stand still.
+    Silent,
 }
 
 #[derive(Debug)]
--- a/crates/platform/src/causes.rs
+++ b/crates/platform/src/causes.rs
@@ -8,7 +8,8 @@
 pub const CLEARED: u16 = 16;
 const NO_ROOM: u16 = 34;
 pub const CONGESTED: u16 = 42;
-const BROKEN: u16 = 41;
+/// Torn down; from a node after the answer, the session was cut.
+pub const CUT: u16 = 41;
 /// A request that can't be used.
 pub const UNUSABLE: u16 = 100;
 
@@ -37,11 +38,11 @@
         Answer::Plays { .. } => CLEARED,
         Answer::Busy { why: Why::NoRoom, .. } => NO_ROOM,
         Answer::Busy { .. } => CONGESTED,
-        Answer::TornDown => BROKEN,
+        Answer::TornDown => CUT,
     }
 }
 
 /// What the viewer is told when its session is over.
 pub fn of_over(how: Ending) -> u16 {
-    if how == Ending::Played { CLEARED } else { BROKEN }
+    if how == Ending::Played { CLEARED } else { CUT }
 }
--- a/crates/platform/src/peers.rs
+++ b/crates/platform/src/peers.rs
@@ -47,6 +47,10 @@
     heard: Instant,
     tested: Option<Instant>,
     dialed: Instant,
+    /// Since when a SETUP's end leaves open whether its process has started again.
+    doubted: Option<Instant>,
+    /// A connection was lost just after it carried a word: one that comes up at once shows that the process goes on.
+    broke: Option<Instant>,
 }
 
 /// A connection to a node.
@@ -90,6 +94,8 @@
                 heard: now,
                 tested: None,
                 dialed: Instant::LONG_AGO,
+                doubted: None,
+                broke: None,
             });
             peer.removed = entry.removed;
             peer.address = entry.address.or(peer.address).filter(|_| !entry.removed);
@@ -122,7 +128,7 @@
             self.over(sess, Ending::Lost, true);
         }
         for trunk in old {
-            self.spoil(now, trunk);
+            self.let_go(now, trunk);
         }
     }
 
@@ -132,6 +138,12 @@
         let node = line.node;
         let Some(peer) = self.peers.get_mut(&node) else { return };
         peer.heard = now;
+        // A process that ended takes no connection for a while, and a machine that vanished had said nothing for long.
+        if peer.broke.take().is_some_and(|at| now - at <= self.site.dial_timeout)
+            && peer.doubted.take().is_some()
+        {
+            self.inputs.push(Input::WentOn { node });
+        }
         let letters = std::mem::take(&mut peer.letters);
         let (waiting, probes) = (std::mem::take(&mut peer.waiting), std::mem::take(&mut peer.probes));
         // One that failed its test is of no more use now that there is another.
@@ -146,7 +158,7 @@
         }
         for trunk in old {
             if self.trunks.get(&trunk).is_some_and(|line| line.up) {
-                self.spoil(now, trunk);
+                self.let_go(now, trunk);
             }
         }
     }
@@ -166,6 +178,17 @@
         let answers = |out: &Out| out.sent.is_some_and(|(sent, _)| sent == trunk);
         let out = call.and_then(|call| call.out.as_ref()).filter(|out| answers(out)).map(|out| out.setup);
         let stands = call.and_then(|call| call.at).is_some_and(|(at, _)| at == node);
+        // What was there before the doubt could not speak of it after another start: a connection, or a session.
+        let cut = message.verb == Verb::Finish && message.cause.is_none_or(|cause| cause == causes::CUT);
+        let since = call.and_then(|call| call.at).filter(|_| stands && !cut).map(|(_, since)| since);
+        let made = self.trunks.get(&trunk).map(|line| line.made);
+        if let Some(peer) = self.peers.get_mut(&node)
+            && let Some(doubted) = peer.doubted
+            && made.into_iter().chain(since).any(|before| before < doubted)
+        {
+            peer.doubted = None;
+            self.inputs.push(Input::WentOn { node });
+        }
         match (message.verb, sess) {
             (Verb::Started, Some(sess)) if out.is_some() => {
                 let Some(text) = message.description else { return self.spoil(now, trunk) };
@@ -231,6 +254,15 @@
         let Some(line) = self.trunks.remove(&trunk) else { return };
         debug!(trunk = trunk.0, ?fall, open = line.open.len(), "a connection to a node ended");
         let node = line.node;
+        if let Some(peer) = self.peers.get_mut(&node) {
+            let fresh = matches!(fall, Fall::Lost | Fall::Spoilt)
+                && line.up
+                && now - line.heard <= Span::from_secs(QUIET);
+            if !line.open.is_empty() {
+                peer.doubted = Some(now);
+            }
+            peer.broke = (fresh && peer.doubted.is_some()).then_some(now);
+        }
         for sess in line.open {
             let Some(call) = self.calls.get_mut(&sess) else { continue };
             let Some(out) = call.out.take() else { continue };
@@ -259,7 +291,7 @@
         }
         self.no_trunk_for_waiting(node);
         let Some(peer) = self.peers.get(&node) else { return };
-        let wanted = !peer.standing.is_empty() || !peer.letters.is_empty();
+        let wanted = !peer.standing.is_empty() || !peer.letters.is_empty() || peer.broke.is_some();
         if wanted && peer.trunks.is_empty() && now - peer.dialed > Span::from_secs(REDIAL) {
             self.dial(now, node);
         }
@@ -342,12 +374,15 @@
             self.given_up.pop_front();
         }
         self.inputs.push(Input::Ended { sess, setup, how: Ending::Silent, load: None });
+        if late && let Some(peer) = self.peers.get_mut(&node) {
+            peer.doubted = Some(now);
+        }
         let line = message::write(Verb::Finish, tag, &[], Some(causes::CLEARED), None);
         self.actions.extend(line.map(|line| Action::ToNode(trunk, line)));
         // Not a word since it was sent: whatever the cause, nothing else open there will be answered.
         if late && self.trunks.get(&trunk).is_some_and(|line| line.heard <= at) {
             self.owe(node, tag);
-            self.spoil(now, trunk);
+            self.let_go(now, trunk);
         }
         self.settle(sess);
     }
@@ -434,6 +469,11 @@
         self.down(now, trunk, Fall::Spoilt);
     }
 
+    fn let_go(&mut self, now: Instant, trunk: Trunk) {
+        self.actions.push(Action::HangUp(trunk));
+        self.down(now, trunk, Fall::Silent);
+    }
+
     fn echo(&mut self, trunk: Trunk, probe: Option<u64>) {
         let tag = Tag::of(self.next_echo);
         self.next_echo = self.next_echo.wrapping_add(1);
@@ -494,7 +534,7 @@
             let open = |trunk: &Trunk| self.trunks.get(trunk).is_some_and(|line| !line.open.is_empty());
             if peer.removed && peer.waiting.is_empty() && !peer.trunks.iter().any(open) {
                 let trunks = peer.trunks.clone();
-                trunks.into_iter().for_each(|trunk| self.spoil(now, trunk));
+                trunks.into_iter().for_each(|trunk| self.let_go(now, trunk));
                 self.peers.remove(&node);
             }
             return;
@@ -507,7 +547,7 @@
             for sess in lost {
                 self.over(sess, Ending::Lost, true);
             }
-            return trunks.into_iter().for_each(|trunk| self.spoil(now, trunk));
+            return trunks.into_iter().for_each(|trunk| self.let_go(now, trunk));
         }
         let up = |trunk: &&Trunk| self.trunks.get(trunk).is_some_and(|line| line.up);
         let on = peer.trunks.iter().find(up).copied();
--- a/crates/platform/src/tests.rs
+++ b/crates/platform/src/tests.rs
@@ -373,6 +373,68 @@
     "#]]);
 }
 
+/// Asks for titles that one node alone holds, until its pace as a cold one is used up.
+fn asks_one_node(stage: &mut Stage, tags: std::ops::Range<u64>) -> &mut Stage {
+    for tag in tags {
+        stage.says(1, &start(tag, "home:2;copies:1;top:0", "v=0"));
+    }
+    stage
+}
+
+#[test]
+fn a_node_whose_connection_was_reset_and_that_takes_another_at_once_is_not_held_for_cold() {
+    let mut stage = Stage::begun();
+    asks_one_node(stage.up("a0").opens(1), 1..2).up("c1").shown();
+    stage.waits(300.0).node("c1", "PENDING", 0x01, "").down("c1", Fall::Lost).up("c2").shows(expect![[r#"
+        dial c2
+        viewer 1 < {"verb":"FINISH","tag":"01","opts":{},"rc":34}
+        node c2 < {"verb":"FINISH","tag":"01","opts":{},"rc":16}
+    "#]]);
+    asks_one_node(&mut stage, 2..8).shows(expect![[r#"
+        node c2 < {"verb":"START","tag":"02","opts":{"class":"clip","key":"7f3a","left":"400","rung":"0"},"blob":"v=0"}
+        node c2 < {"verb":"START","tag":"03","opts":{"class":"clip","key":"7f3a","left":"400","rung":"0"},"blob":"v=0"}
+        node c2 < {"verb":"START","tag":"04","opts":{"class":"clip","key":"7f3a","left":"400","rung":"0"},"blob":"v=0"}
+        node c2 < {"verb":"START","tag":"05","opts":{"class":"clip","key":"7f3a","left":"400","rung":"0"},"blob":"v=0"}
+        node c2 < {"verb":"START","tag":"06","opts":{"class":"clip","key":"7f3a","left":"400","rung":"0"},"blob":"v=0"}
+        node c2 < {"verb":"START","tag":"07","opts":{"class":"clip","key":"7f3a","left":"400","rung":"0"},"blob":"v=0"}
+    "#]]);
+}
+
+#[test]
+fn a_node_that_stood_still_is_held_for_cold_until_a_session_of_before_speaks() {
+    let mut stage = Stage::begun();
+    asks_one_node(stage.up("a0").opens(1), 1..2)
+        .up("c1")
+        .node("c1", "STARTED", 1, r#","opts":{},"blob":"m=1""#)
+        .shown();
+    asks_one_node(stage.waits(50.0), 2..3).waits(450.0).up("c2").shows(expect![[r#"
+        node c1 < {"verb":"START","tag":"02","opts":{"class":"clip","key":"7f3a","left":"400","rung":"0"},"blob":"v=0"}
+        after 349 ms:
+        node a0 < {"verb":"RATE","tag":"a0","opts":{"rung":"1"}}
+        after 400 ms:
+        node c1 < {"verb":"FINISH","tag":"02","opts":{},"rc":16}
+        hang up c1
+        dial c2
+        viewer 1 < {"verb":"FINISH","tag":"02","opts":{},"rc":34}
+        node c2 < {"verb":"FINISH","tag":"02","opts":{},"rc":16}
+    "#]]);
+    asks_one_node(&mut stage, 3..9).shows(expect![[r#"
+        node c2 < {"verb":"START","tag":"03","opts":{"class":"clip","key":"7f3a","left":"400","rung":"0"},"blob":"v=0"}
+        viewer 1 < {"verb":"FINISH","tag":"04","opts":{},"rc":34}
+        viewer 1 < {"verb":"FINISH","tag":"05","opts":{},"rc":34}
+        viewer 1 < {"verb":"FINISH","tag":"06","opts":{},"rc":34}
+        viewer 1 < {"verb":"FINISH","tag":"07","opts":{},"rc":34}
+        viewer 1 < {"verb":"FINISH","tag":"08","opts":{},"rc":34}
+    "#]]);
+    // It may have started again: some of its pace is used up. Then one that stood there before is heard of.
+    stage.node("c2", "FINISH", 1, r#","opts":{},"rc":16"#).shown();
+    asks_one_node(&mut stage, 9..12).shows(expect![[r#"
+        node c2 < {"verb":"START","tag":"09","opts":{"class":"clip","key":"7f3a","left":"400","rung":"0"},"blob":"v=0"}
+        node c2 < {"verb":"START","tag":"0a","opts":{"class":"clip","key":"7f3a","left":"400","rung":"0"},"blob":"v=0"}
+        node c2 < {"verb":"START","tag":"0b","opts":{"class":"clip","key":"7f3a","left":"400","rung":"0"},"blob":"v=0"}
+    "#]]);
+}
+
 #[test]
 fn near_its_end_a_director_fails_tests_and_serves_what_comes() {
     let mut stage = Stage::begun();
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -129,6 +129,7 @@
             // held to have started no earlier than we did.
             if !self.sess.iter().any(|(_, s)| s.plays) {
                 self.fleet.born.fill(now);
+                self.fleet.vouched.fill(now);
             }
             if self.plant.ask_list.is_some() {
                 out.follow_list(true);
@@ -558,6 +559,15 @@
         }
     }
 
+    /// Its process is shown to be the one that it was: whatever was lost on the way to it or from it, it is as warm
+    /// as before. Guards against holding a node for cold after resets, spoilt and late answers.
+    pub fn went_on(&mut self, node: Node) {
+        let f = &mut self.d.fleet;
+        if let Some(&i) = f.index.get(&node) {
+            (f.failed[i], f.born[i]) = (None, f.vouched[i]);
+        }
+    }
+
     /// It is gone, be it for a while: its row may be another's once no session speaks of it.
     pub fn node_gone(&mut self, node: Node) {
         self.node_leaves(node);
--- a/src/state.rs
+++ b/src/state.rs
@@ -341,6 +341,8 @@
         /// When it last gave no answer, if it hasn't played since.
         failed: Option<Instant> = None,
         born: Instant = Instant::LONG_AGO,
+        /// The latest start that was told of, or that nothing vouches against; `born` may be a later guess.
+        vouched: Instant = Instant::LONG_AGO,
         sent: Recent = Recent::default(),
         /// Last note of short delivery with its share, and last drop on account of one.
         short: Instant = Instant::LONG_AGO,
@@ -370,7 +372,7 @@
                 self.grow();
             }
             self.index.insert(node, i);
-            (self.node[i], self.born[i]) = (node, born);
+            (self.node[i], self.born[i], self.vouched[i]) = (node, born, born);
             i
         });
         self.gone[i] = false;
@@ -380,6 +382,7 @@
         self.places[i] = plant.places.get(usize::from(place.model.0)).copied().unwrap_or(1.0);
         let restarted = born > self.born[i];
         self.born[i] = self.born[i].max(born);
+        self.vouched[i] = self.vouched[i].max(born);
         restarted.then_some(i)
     }
 
