A node that says itself what it lost is not held for cold

Checked: which endings hold which node for cold (probe in ended() and started(), taken out). At fault: causes.rs reads a release of a session that stood, and one that breaks a SETUP, as Lost, and policy.rs ended() takes Lost for a sign that the process may have ended, though the node itself had said so on a connection that went on.

Change: peers.rs tells the module that the process went on, where the connection is the one that the session began on.

--- a/crates/platform/src/peers.rs
+++ b/crates/platform/src/peers.rs
@@ -142,6 +142,7 @@
         if peer.broke.take().is_some_and(|at| now - at <= self.site.dial_timeout)
             && peer.doubted.take().is_some()
         {
+            debug!(name = peer.name, "its process went on: it took a connection at once");
             self.inputs.push(Input::WentOn { node });
         }
         let letters = std::mem::take(&mut peer.letters);
@@ -187,6 +188,7 @@
             && made.into_iter().chain(since).any(|before| before < doubted)
         {
             peer.doubted = None;
+            debug!(name = peer.name, "its process went on: what was there before speaks");
             self.inputs.push(Input::WentOn { node });
         }
         match (message.verb, sess) {
@@ -212,13 +214,18 @@
                 match (sess, out) {
                     (Some(sess), Some(setup)) => {
                         self.set_up_over(sess);
-                        self.inputs.push(Input::Ended { sess, setup, how: causes::of_setup(cause), load });
+                        let how = causes::of_setup(cause);
+                        self.inputs.push(Input::Ended { sess, setup, how, load });
+                        self.spoke(node, how, true);
                         self.settle(sess);
                     }
                     (Some(sess), None) if stands => {
                         self.inputs.extend(load.map(|load| Input::Load { node, load }));
                         let (how, owed) = causes::of_session(cause);
+                        let stood = self.calls.get(&sess).and_then(|call| call.at).map(|(_, since)| since);
+                        let unbroken = made.zip(stood).is_some_and(|(made, stood)| made <= stood);
                         self.over(sess, how, owed);
+                        self.spoke(node, how, unbroken);
                     }
                     _ => {}
                 }
@@ -250,9 +257,17 @@
         }
     }
 
+    /// A node that says itself, on the connection that its session began on, that the session was lost has not ended.
+    fn spoke(&mut self, node: Node, how: Ending, unbroken: bool) {
+        if how == Ending::Lost && unbroken {
+            self.inputs.push(Input::WentOn { node });
+        }
+    }
+
     pub(crate) fn down(&mut self, now: Instant, trunk: Trunk, fall: Fall) {
         let Some(line) = self.trunks.remove(&trunk) else { return };
-        debug!(trunk = trunk.0, ?fall, open = line.open.len(), "a connection to a node ended");
+        let name = self.peers.get(&line.node).map(|peer| &peer.name);
+        debug!(name, trunk = trunk.0, ?fall, open = line.open.len(), "a connection to a node ended");
         let node = line.node;
         if let Some(peer) = self.peers.get_mut(&node) {
             let fresh = matches!(fall, Fall::Lost | Fall::Spoilt)
--- a/crates/platform/src/tests.rs
+++ b/crates/platform/src/tests.rs
@@ -400,6 +400,28 @@
     "#]]);
 }
 
+#[test]
+fn a_node_that_says_itself_what_it_lost_is_not_held_for_cold() {
+    let mut stage = Stage::begun();
+    asks_one_node(stage.up("a0").opens(1), 1..3).up("c1").node(
+        "c1",
+        "STARTED",
+        1,
+        r#","opts":{},"blob":"m=1""#,
+    );
+    stage
+        .node("c1", "FINISH", 2, r#","opts":{},"rc":41"#)
+        .node("c1", "FINISH", 1, r#","opts":{},"rc":41"#)
+        .shown();
+    asks_one_node(&mut stage, 3..8).shows(expect![[r#"
+        node c1 < {"verb":"START","tag":"03","opts":{"class":"clip","key":"7f3a","left":"400","rung":"0"},"blob":"v=0"}
+        node c1 < {"verb":"START","tag":"04","opts":{"class":"clip","key":"7f3a","left":"400","rung":"0"},"blob":"v=0"}
+        node c1 < {"verb":"START","tag":"05","opts":{"class":"clip","key":"7f3a","left":"400","rung":"0"},"blob":"v=0"}
+        node c1 < {"verb":"START","tag":"06","opts":{"class":"clip","key":"7f3a","left":"400","rung":"0"},"blob":"v=0"}
+        node c1 < {"verb":"START","tag":"07","opts":{"class":"clip","key":"7f3a","left":"400","rung":"0"},"blob":"v=0"}
+    "#]]);
+}
+
 #[test]
 fn a_node_that_stood_still_is_held_for_cold_until_a_session_of_before_speaks() {
     let mut stage = Stage::begun();
