Platform: one way to take a session in hand, one to lose a node's; unused parts taken out

Need: read once more, the change held twins and parts that nothing calls.

Change: a set-up and a handed-over session come in hand by one piece (board.rs, take_in_hand), a node that refuses and one that is gone unsaid lose their sessions by one (peers.rs, lose_all), FINISH 16 towards a node is written by one.

--- a/crates/platform/src/board.rs
+++ b/crates/platform/src/board.rs
@@ -350,20 +350,36 @@
             }
             return;
         }
-        let Some(viewer) = self.viewers.get_mut(&link) else { return };
-        if viewer.open.len() >= MOST_OPEN {
+        if self.viewers.get(&link).is_some_and(|viewer| viewer.open.len() >= MOST_OPEN) {
             return self.refuse(link, tag, causes::CONGESTED);
         }
-        let sess = Sess(self.next_sess);
+        let want = ask.want;
+        let Some(sess) = self.take_in_hand(now, link, tag, Some(Box::new(ask)), None) else { return };
+        self.inputs.push(Input::Asked { sess, want });
+    }
+
+    /// A set-up that is to be answered, or a session that stands at a node already.
+    fn take_in_hand(
+        &mut self,
+        now: Instant,
+        link: Link,
+        tag: Tag,
+        ask: Option<Box<Ask>>,
+        at: Option<(Node, Instant)>,
+    ) -> Option<Sess> {
+        let viewer = self.viewers.get_mut(&link)?;
+        let (sess, from, answered) = (Sess(self.next_sess), viewer.from, at.is_some());
         self.next_sess += 1;
-        viewer.open.insert(sess);
-        let from = viewer.from;
+        if answered {
+            viewer.standing += 1;
+        } else {
+            viewer.open.insert(sess);
+        }
         self.useful(now, link);
-        self.inputs.push(Input::Asked { sess, want: ask.want });
-        let ask = Some(Box::new(ask));
-        let call = Call { tag, link, from, ask, out: None, at: None, description: None, answered: false };
+        let call = Call { tag, link, from, ask, out: None, at, description: None, answered };
         self.calls.insert(sess, call);
         self.tags.insert(tag, sess);
+        Some(sess)
     }
 
     fn under_way(&mut self, now: Instant, link: Link, tag: Tag, ask: &Ask, node: Node) {
@@ -371,15 +387,7 @@
             // Its node is gone for all that is told: nobody would ever say that it is over.
             return self.refuse(link, tag, causes::of_over(Ending::Lost));
         }
-        let Some(viewer) = self.viewers.get_mut(&link) else { return };
-        let (sess, from) = (Sess(self.next_sess), viewer.from);
-        self.next_sess += 1;
-        viewer.standing += 1;
-        self.useful(now, link);
-        let (at, answered) = (Some((node, now)), true);
-        let call = Call { tag, link, from, ask: None, out: None, at, description: None, answered };
-        self.calls.insert(sess, call);
-        self.tags.insert(tag, sess);
+        let Some(sess) = self.take_in_hand(now, link, tag, None, Some((node, now))) else { return };
         self.inputs.push(Input::UnderWay { sess, want: ask.want, node });
         self.stands(now, sess, node);
     }
--- a/crates/platform/src/bus.rs
+++ b/crates/platform/src/bus.rs
@@ -20,8 +20,6 @@
 /// What a read of the bus returns, and what the configuration keeps of it.
 #[derive(Clone, Debug, Deserialize)]
 pub struct Batch {
-    #[serde(default)]
-    pub offset: u64,
     #[serde(default)]
     pub batch: Vec<Numbered>,
 }
@@ -82,7 +80,6 @@
 /// One event; a whole one names all nodes that there are.
 #[derive(Clone, Debug)]
 pub struct News {
-    pub offset: u64,
     pub whole: bool,
     pub entries: Vec<Entry>,
 }
@@ -121,10 +118,6 @@
             removed: e.status == Status::Removed,
             name: e.name,
         };
-        News {
-            offset: self.offset,
-            whole: topology.snapshot,
-            entries: topology.endpoints.into_iter().map(entry).collect(),
-        }
+        News { whole: topology.snapshot, entries: topology.endpoints.into_iter().map(entry).collect() }
     }
 }
--- a/crates/platform/src/line.rs
+++ b/crates/platform/src/line.rs
@@ -1,7 +1,7 @@
-//! Lines of bounded length, as a codec. What is too long is refused while it arrives, not when it ends.
+//! Lines of bounded length, as a decoder. What is too long is refused while it arrives, not when it ends.
 
 use bytes::{Buf, Bytes, BytesMut};
-use tokio_util::codec::{Decoder, Encoder};
+use tokio_util::codec::Decoder;
 
 /// The longest message, without its line feed.
 pub const MOST: usize = 16 * 1024;
@@ -45,22 +45,4 @@
         buffer.advance(1);
         Ok(Some(line))
     }
-
-    /// What a close cuts off is no line.
-    fn decode_eof(&mut self, buffer: &mut BytesMut) -> Result<Option<Bytes>, Trouble> {
-        let line = self.decode(buffer)?;
-        if line.is_none() {
-            buffer.clear();
-        }
-        Ok(line)
-    }
-}
-
-impl Encoder<Bytes> for Lines {
-    type Error = Trouble;
-
-    fn encode(&mut self, line: Bytes, buffer: &mut BytesMut) -> Result<(), Trouble> {
-        buffer.extend_from_slice(&line);
-        Ok(())
-    }
 }
--- a/crates/platform/src/peers.rs
+++ b/crates/platform/src/peers.rs
@@ -297,12 +297,8 @@
             peer.letters.clear();
         }
         if fall == Fall::Refused {
-            // Its process has ended, and all that it had.
-            peer.letters.clear();
-            let lost = std::mem::take(&mut peer.standing);
-            for sess in lost {
-                self.over(sess, Ending::Lost, true);
-            }
+            // Its process has ended.
+            self.lose_all(node);
         }
         self.no_trunk_for_waiting(node);
         let Some(peer) = self.peers.get(&node) else { return };
@@ -312,6 +308,15 @@
         }
     }
 
+    /// All that stood at the node is lost, and nobody is there to be told anything.
+    fn lose_all(&mut self, node: Node) {
+        let Some(peer) = self.peers.get_mut(&node) else { return };
+        peer.letters.clear();
+        for sess in std::mem::take(&mut peer.standing) {
+            self.over(sess, Ending::Lost, true);
+        }
+    }
+
     /// What waits for a connection can't have one, if none is on its way.
     fn no_trunk_for_waiting(&mut self, node: Node) {
         let Some(peer) = self.peers.get_mut(&node) else { return };
@@ -392,8 +397,7 @@
         if late && let Some(peer) = self.peers.get_mut(&node) {
             peer.doubted = Some(now);
         }
-        let line = message::write(Verb::Finish, tag, &[], Some(causes::CLEARED), None);
-        self.actions.extend(line.map(|line| Action::ToNode(trunk, line)));
+        self.actions.extend(give_up(tag).map(|line| Action::ToNode(trunk, line)));
         // Not a word since it was sent: whatever the cause, nothing else open there will be answered.
         if late && self.trunks.get(&trunk).is_some_and(|line| line.heard <= at) {
             self.owe(node, tag);
@@ -500,7 +504,7 @@
     }
 
     fn owe(&mut self, node: Node, tag: Tag) {
-        let line = message::write(Verb::Finish, tag, &[], Some(causes::CLEARED), None);
+        let line = give_up(tag);
         if let Some(peer) = self.peers.get_mut(&node)
             && peer.letters.len() < MOST_LETTERS
         {
@@ -556,12 +560,8 @@
         }
         if after(peer.heard, GONE) || (peer.trunks.is_empty() && peer.address.is_none()) {
             debug!(name = peer.name, standing = peer.standing.len(), "a node is gone unsaid");
-            let lost = std::mem::take(&mut peer.standing);
-            peer.letters.clear();
             let trunks = peer.trunks.clone();
-            for sess in lost {
-                self.over(sess, Ending::Lost, true);
-            }
+            self.lose_all(node);
             return trunks.into_iter().for_each(|trunk| self.let_go(now, trunk));
         }
         let up = |trunk: &&Trunk| self.trunks.get(trunk).is_some_and(|line| line.up);
@@ -579,6 +579,10 @@
     }
 }
 
+fn give_up(tag: Tag) -> Option<Bytes> {
+    message::write(Verb::Finish, tag, &[], Some(causes::CLEARED), None)
+}
+
 /// A report: figures by the names of the settings, as in `x0:0.12;x1:0.4`.
 fn read_load(text: &str) -> Load {
     let mut load = Load::default();
--- a/crates/site/src/lib.rs
+++ b/crates/site/src/lib.rs
@@ -87,8 +87,6 @@
     max_streams: Option<f64>,
     #[serde(default)]
     dial_timeout: Option<f64>,
-    #[serde(default)]
-    conn_idle: Option<f64>,
 }
 
 #[derive(Deserialize)]
@@ -140,8 +138,6 @@
     pub streams: Option<usize>,
     /// A connection that isn't up by then doesn't come up.
     pub dial_timeout: Span,
-    /// Idle connections close after this.
-    pub idle: Option<Span>,
 }
 
 /// What the settings name; an id is a name's place in its list.
@@ -179,7 +175,6 @@
         setup_timeouts: conf.services.iter().map(|s| s.deadline.map(Span::from_ms)).collect(),
         streams: limits.max_streams.map(|most| (most as usize).max(1)),
         dial_timeout: Span::from_ms(limits.dial_timeout.unwrap_or(DIAL_TIMEOUT_MS)),
-        idle: limits.conn_idle.map(Span::from_ms),
         names: Names {
             groups: conf.services.into_iter().map(|s| s.name).collect(),
             tenants: conf.tenants.into_iter().map(|t| t.name).collect(),
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -559,8 +559,8 @@
         }
     }
 
-    /// Its process is shown to be the one that it was: whatever was lost on the way to it or from it, it is as warm
-    /// as before. Guards against holding a node for cold after resets, spoilt and late answers.
+    /// Its process is shown to be the one that it was: whatever was lost on the way, it is as warm as before.
+    /// Guards against holding a node for cold after resets, spoilt and late answers.
     pub fn went_on(&mut self, node: Node) {
         let f = &mut self.d.fleet;
         if let Some(&i) = f.index.get(&node) {
