Every request given up on is told in that round when to come back, a trace for each way

Need: the operators want the final answer at once on giving up, with a time to come back where rules and settings allow one, for every way of giving up.

Checked: each path to busy or torn down in src/policy.rs (asked; place -> may_set_up, list, give_up) was played in a trace. One was told no time: a request for a service group that the settings don't have (Round::asked, busy(sess, None)). Torn down carries no time on the wire or on the platform, and is used only where rule 2 bars a busy reply.

Change: come_back() says the time for both places. The comment of list_whole, which had slipped to turns, is back.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -415,12 +415,17 @@
         let terms = &self.plant.of_group(&s).group;
         let anywhere = terms.care == Care::Dedup && terms.reach == Reach::Anywhere;
         if terms.care == Care::Safe || anywhere || s.doubt.is_none() {
-            out.busy(id, self.plant.retry_after.map(|most| most * RETRY_PART));
+            out.busy(id, self.come_back());
         } else {
             out.tear_down(id);
         }
     }
 
+    /// When a busy-replied viewer is asked to come back, where that can be told.
+    fn come_back(&self) -> Option<Span> {
+        self.plant.retry_after.map(|most| most * RETRY_PART)
+    }
+
     // While sessions play
 
     /// A session whose node has been quiet climbs one rung if that fits our part of the room: so many of the
@@ -518,12 +523,12 @@
 }
 
 impl Round<'_> {
-    /// A whole list begins, as it stands or as it was last held.
     /// Which turns at cold nodes are ours, of so many in all; until told, one of as many as directors.
     pub fn turns(&mut self, ours: &[usize], of: usize) {
         self.d.plant.turns = (ours.to_vec(), of.max(1) as f64);
     }
 
+    /// A whole list begins, as it stands or as it was last held.
     pub fn list_whole(&mut self) {
         self.d.follows = true;
         self.d.fleet.named.fill(false);
@@ -586,7 +591,7 @@
 
     pub fn asked(&mut self, sess: Sess, want: Viewing) {
         if self.take(sess, want).is_none() {
-            return self.out.busy(sess, None);
+            return self.out.busy(sess, self.d.come_back());
         }
         let span = self.d.plant.ration.map_or(Span::ZERO, |r| r.span);
         self.d.counts.taken.add(self.d.now, span);
