Impossible and unknown settings are refused at start, with file and field

Need: the issue wants unknown or impossible settings refused at start. Checked by hand on the settings reader: a negative warm-up, a director too many, a ladder that falls, a floor over the group's highest rung, lists of another length than the services, an unknown reach of dedup groups (taken for the cell), an unknown way of reports or of the list (taken for none and for pushed) were all taken, and numbers cut to the size of an id (crates/site/src/lib.rs, headend and group).

Change: figures are read into types that hold their bounds (crates/site/src/bounds.rs), names into enums, so that the error has the way to its field; what one field can't tell alone is checked in agree(). Settings that nothing here asks for, and reports' figures of unknown names, are passed over as before. limits.memory_mb must leave room.

--- a/crates/cli/tests/platform.rs
+++ b/crates/cli/tests/platform.rs
@@ -386,12 +386,14 @@
         told(&good.replace("\"sockets\": 64", "\"sockets\": 4")),
         told(&good.replace("\"aim\": 800", "\"aim\": \"soon\"")),
         told(&good.replace("retryable", "sometimes")),
+        told(&good.replace("\"memory_mb\": 64", "\"memory_mb\": 0")),
     ];
     expect_test::expect![[r#"
         Some(1) ashglade: /config.json: missing field `name` at line 1 column 2
         Some(1) ashglade: /config.json: seed: "x" is not a number of up to 16 hex digits
         Some(1) ashglade: /config.json: limits.sockets: 4 are too few to serve with
         Some(1) ashglade: /config.json: settings: services[0].aim: invalid type: string "soon", expected f64 at line 6 column 51
-        Some(1) ashglade: /config.json: settings: unknown effect "sometimes"
+        Some(1) ashglade: /config.json: settings: services[0].effect: unknown variant `sometimes`, expected one of `retryable`, `dedup`, `fragile` at line 6 column 102
+        Some(1) ashglade: /config.json: limits.memory_mb: 0 leave no room to serve in
     "#]].assert_eq(&shown.concat());
 }
--- a/crates/platform/src/config.rs
+++ b/crates/platform/src/config.rs
@@ -46,6 +46,9 @@
         if raw.limits.sockets < 16 {
             return Err(format!("limits.sockets: {} are too few to serve with", raw.limits.sockets));
         }
+        if raw.limits.memory_mb <= 0.0 {
+            return Err(format!("limits.memory_mb: {} leave no room to serve in", raw.limits.memory_mb));
+        }
         let site = ashglade_site::read(seed, raw.settings.get().as_bytes())?;
         let Raw { name, listen, bus, limits, known, .. } = raw;
         Ok(Config { name, listen, bus, limits, known, site })
--- a/crates/site/src/lib.rs
+++ b/crates/site/src/lib.rs
@@ -1,24 +1,29 @@
 //! Reads the settings object that simulator and platform alike hand to a director: into what the module is told at
-//! start, and into the names and limits that a front needs. Nothing here decides.
+//! start, and into the names and limits that a front needs. A value that can't be, or that nobody here knows, ends the
+//! reading with the field's name; settings that nothing here asks for are passed over. Nothing here decides.
+
+mod bounds;
 
 use ashglade::ids::{Rung, Zone};
 use ashglade::interface::{Care, Gauge, Headend, Ration, Reach, ServiceGroup};
 use ashglade::time::Span;
 use serde::Deserialize;
 
+use crate::bounds::{Above0, From0, Part, Whole};
+
 #[derive(Deserialize)]
 #[serde(rename_all = "camelCase")]
 struct Conf {
-    balancers: f64,
+    balancers: Whole<1>,
     #[serde(default)]
-    discovery: Option<String>,
+    discovery: Discovery,
     family_info: Family,
     #[serde(default)]
     fees: Fees,
     limits: Limits,
     #[serde(default)]
-    my_number: f64,
-    my_zone: f64,
+    my_number: Whole,
+    my_zone: Whole<0, 255>,
     rules: Rules,
     services: Vec<Service>,
     #[serde(default)]
@@ -36,39 +41,48 @@
     name: String,
 }
 
+/// How the list of media nodes comes.
+#[derive(Clone, Copy, Default, PartialEq, Deserialize)]
+#[serde(rename_all = "snake_case")]
+enum Discovery {
+    #[default]
+    Pushed,
+    OnRequest,
+}
+
 #[derive(Deserialize)]
 #[serde(rename_all = "camelCase")]
 struct Family {
     #[serde(default)]
     class_live: Vec<bool>,
     #[serde(default)]
-    class_scale: Vec<f64>,
+    class_scale: Vec<Above0>,
     #[serde(default)]
-    class_seats: Vec<f64>,
+    class_seats: Vec<Whole>,
     #[serde(default)]
-    floor_by_class: Vec<f64>,
+    floor_by_class: Vec<Whole>,
     #[serde(default)]
-    highest_rung: Vec<f64>,
+    highest_rung: Vec<Whole>,
     #[serde(default)]
-    groups: Option<f64>,
+    groups: Option<Whole<1, 65535>>,
     #[serde(default)]
-    join_adds: Option<f64>,
+    join_adds: Option<From0>,
     #[serde(default)]
-    kind_streams: Vec<f64>,
-    ladder_kb: Vec<f64>,
-    level_worth: Vec<f64>,
-    link_unit_kb: f64,
-    positions: f64,
+    kind_streams: Vec<Above0>,
+    ladder_kb: Vec<Above0>,
+    level_worth: Vec<From0>,
+    link_unit_kb: Above0,
+    positions: Whole<1, 65535>,
     #[serde(default)]
-    see: f64,
+    see: From0,
     #[serde(default)]
-    uplink_kb: f64,
+    uplink_kb: From0,
 }
 
 #[derive(Default, Deserialize)]
 struct Fees {
     #[serde(default)]
-    probe: f64,
+    probe: From0,
 }
 
 #[derive(Deserialize)]
@@ -77,30 +91,30 @@
     #[serde(default)]
     cancelling: bool,
     #[serde(default)]
-    max_retry_after: f64,
-    most_tries: f64,
+    max_retry_after: From0,
+    most_tries: Whole<1>,
     #[serde(default)]
     probing: bool,
     #[serde(default)]
     retry_after: bool,
     #[serde(default)]
-    max_streams: Option<f64>,
+    max_streams: Option<Whole<1>>,
     #[serde(default)]
-    dial_timeout: Option<f64>,
+    dial_timeout: Option<Above0>,
 }
 
 #[derive(Deserialize)]
 #[serde(rename_all = "camelCase")]
 struct Rules {
     #[serde(default)]
-    ask_within: f64,
-    fall: f64,
-    fall_multiple: f64,
-    start_capacity: f64,
-    warm_after: f64,
-    extra_free: Option<f64>,
-    extra_per_request: Option<f64>,
-    resend_span: Option<f64>,
+    ask_within: From0,
+    fall: From0,
+    fall_multiple: Above0,
+    start_capacity: Part,
+    warm_after: From0,
+    extra_free: Option<From0>,
+    extra_per_request: Option<From0>,
+    resend_span: Option<Above0>,
 }
 
 #[derive(Deserialize)]
@@ -108,15 +122,32 @@
 struct Service {
     #[serde(default)]
     name: String,
-    aim: f64,
+    aim: Above0,
     #[serde(default)]
-    deadline: Option<f64>,
-    credit: f64,
-    effect: String,
+    deadline: Option<Above0>,
+    credit: From0,
+    effect: Effect,
     #[serde(default)]
-    group: Option<String>,
+    group: Group,
     #[serde(default)]
-    repeat_window: f64,
+    repeat_window: From0,
+}
+
+#[derive(Clone, Copy, Deserialize)]
+#[serde(rename_all = "snake_case")]
+enum Effect {
+    Retryable,
+    Dedup,
+    Fragile,
+}
+
+#[derive(Clone, Copy, Default, Deserialize)]
+#[serde(rename_all = "snake_case")]
+enum Group {
+    #[default]
+    All,
+    Zone,
+    Cell,
 }
 
 #[derive(Default, Deserialize)]
@@ -124,7 +155,17 @@
     #[serde(default)]
     fields: Vec<String>,
     #[serde(default)]
-    via: String,
+    via: Via,
+}
+
+/// How load reports come.
+#[derive(Clone, Copy, Default, PartialEq, Deserialize)]
+#[serde(rename_all = "snake_case")]
+enum Via {
+    Piggyback,
+    Pull,
+    #[default]
+    Silent,
 }
 
 /// All that is read from the settings.
@@ -168,13 +209,13 @@
     let json = &mut serde_json::Deserializer::from_slice(text);
     let conf: Conf =
         serde_path_to_error::deserialize(json).map_err(|e| format!("settings: {}", field(&e)))?;
-    let headend = headend(seed, &conf)?;
+    agree(&conf).map_err(|what| format!("settings: {what}"))?;
     let limits = &conf.limits;
     Ok(Site {
-        headend,
-        setup_timeouts: conf.services.iter().map(|s| s.deadline.map(Span::from_ms)).collect(),
-        streams: limits.max_streams.map(|most| (most as usize).max(1)),
-        dial_timeout: Span::from_ms(limits.dial_timeout.unwrap_or(DIAL_TIMEOUT_MS)),
+        headend: headend(seed, &conf),
+        setup_timeouts: conf.services.iter().map(|s| s.deadline.map(|d| Span::from_ms(d.get()))).collect(),
+        streams: limits.max_streams.map(|most| most.get()),
+        dial_timeout: Span::from_ms(limits.dial_timeout.map_or(DIAL_TIMEOUT_MS, Above0::get)),
         names: Names {
             groups: conf.services.into_iter().map(|s| s.name).collect(),
             tenants: conf.tenants.into_iter().map(|t| t.name).collect(),
@@ -184,79 +225,120 @@
     })
 }
 
-fn headend(seed: u64, conf: &Conf) -> Result<Headend, String> {
+/// What one field can't tell alone; the error names the field that can't stand beside the other.
+fn agree(conf: &Conf) -> Result<(), String> {
     let family = &conf.family_info;
-    if family.ladder_kb.is_empty() || family.level_worth.len() != family.ladder_kb.len() {
-        return Err(
-            "settings: ladderKb and levelWorth must have as many rungs as each other, one at least".into()
-        );
+    let rungs = family.ladder_kb.len();
+    if rungs == 0 || rungs > usize::from(u8::MAX) {
+        return Err(format!("familyInfo.ladderKb: a ladder of {rungs} rungs"));
+    }
+    if family.level_worth.len() != rungs {
+        let worths = family.level_worth.len();
+        return Err(format!("familyInfo.levelWorth: {worths} figures, but ladderKb has {rungs} rungs"));
+    }
+    let falls = |list: &[f64]| list.windows(2).position(|two| two[1] < two[0]).map(|at| at + 1);
+    let rates: Vec<f64> = family.ladder_kb.iter().map(|kb| kb.get()).collect();
+    if let Some(at) = falls(&rates) {
+        return Err(format!("familyInfo.ladderKb[{at}]: {} is under the rung below", rates[at]));
+    }
+    if conf.services.is_empty() {
+        return Err("services: none are named".into());
     }
-    let groups = conf.services.iter().enumerate();
-    let groups = groups.map(|(i, service)| group(i, service, family)).collect::<Result<Vec<_>, _>>()?;
+    let lists = [
+        ("classLive", family.class_live.len()),
+        ("classScale", family.class_scale.len()),
+        ("classSeats", family.class_seats.len()),
+        ("floorByClass", family.floor_by_class.len()),
+        ("highestRung", family.highest_rung.len()),
+    ];
+    for (name, count) in lists {
+        if count != 0 && count != conf.services.len() {
+            let services = conf.services.len();
+            return Err(format!("familyInfo.{name}: {count} figures for {services} services"));
+        }
+    }
+    for (i, floor) in family.floor_by_class.iter().enumerate() {
+        let top = family.highest_rung.get(i).map_or(rungs - 1, |top| top.get().min(rungs - 1));
+        if floor.get() > top {
+            let floor = floor.get();
+            return Err(format!("familyInfo.floorByClass[{i}]: rung {floor} is above the highest, {top}"));
+        }
+    }
+    if !conf.azs.is_empty() && conf.my_zone.get() >= conf.azs.len() {
+        return Err(format!("myZone: {} is not one of the {} azs", conf.my_zone.get(), conf.azs.len()));
+    }
+    if conf.discovery == Discovery::OnRequest && conf.rules.ask_within.get() <= 0.0 {
+        return Err("rules.askWithin: the list comes on request, and no time is told to ask within".into());
+    }
+    Ok(())
+}
+
+fn headend(seed: u64, conf: &Conf) -> Headend {
+    let family = &conf.family_info;
     let rules = &conf.rules;
     let ration = rules.resend_span.map(|span| Ration {
-        free: rules.extra_free.unwrap_or(0.0),
-        per_session: rules.extra_per_request.unwrap_or(0.0),
-        span: Span::from_ms(span),
+        free: rules.extra_free.map_or(0.0, From0::get),
+        per_session: rules.extra_per_request.map_or(0.0, From0::get),
+        span: Span::from_ms(span.get()),
     });
-    Ok(Headend {
+    let limits = &conf.limits;
+    let rungs = family.ladder_kb.iter().zip(&family.level_worth);
+    Headend {
         seed,
-        zone: Zone(conf.my_zone as u8),
-        me: conf.my_number as usize,
-        directors: conf.balancers as usize,
-        groups,
-        ladder: family.ladder_kb.iter().copied().zip(family.level_worth.iter().copied()).collect(),
-        places: family.kind_streams.clone(),
-        cells: family.positions as u16,
-        racks: family.groups.unwrap_or(1.0) as u16,
-        link_unit: family.link_unit_kb,
-        uplink: family.uplink_kb,
-        join: family.join_adds.unwrap_or(1.0),
-        notice: Span::from_ms(family.see),
+        zone: Zone(conf.my_zone.get() as u8),
+        me: conf.my_number.get(),
+        directors: conf.balancers.get(),
+        groups: conf.services.iter().enumerate().map(|(i, service)| group(i, service, family)).collect(),
+        ladder: rungs.map(|(kb, worth)| (kb.get(), worth.get())).collect(),
+        places: family.kind_streams.iter().map(|n| n.get()).collect(),
+        cells: family.positions.get() as u16,
+        racks: family.groups.map_or(1, |racks| racks.get()) as u16,
+        link_unit: family.link_unit_kb.get(),
+        uplink: family.uplink_kb.get(),
+        join: family.join_adds.map_or(1.0, From0::get),
+        notice: Span::from_ms(family.see.get()),
         gauges: conf.telemetry.fields.iter().map(|name| gauge(name)).collect(),
-        probe_only: conf.telemetry.via == "pull",
-        may_probe: conf.limits.probing,
-        probe_price: conf.fees.probe,
-        may_cancel: conf.limits.cancelling,
-        retry_after: conf.limits.retry_after.then(|| Span::from_ms(conf.limits.max_retry_after)),
-        setups_per_session: conf.limits.most_tries as usize,
+        probe_only: conf.telemetry.via == Via::Pull,
+        may_probe: limits.probing,
+        probe_price: conf.fees.probe.get(),
+        may_cancel: limits.cancelling,
+        retry_after: limits.retry_after.then(|| Span::from_ms(limits.max_retry_after.get())),
+        setups_per_session: limits.most_tries.get(),
         ration,
-        cold_from: rules.start_capacity,
-        warm_after: Span::from_ms(rules.warm_after),
-        fall_multiple: rules.fall_multiple,
-        fall_span: Span::from_ms(rules.fall),
-        ask_list_within: (conf.discovery.as_deref() == Some("on_request"))
-            .then(|| Span::from_ms(rules.ask_within)),
-    })
+        cold_from: rules.start_capacity.get(),
+        warm_after: Span::from_ms(rules.warm_after.get()),
+        fall_multiple: rules.fall_multiple.get(),
+        fall_span: Span::from_ms(rules.fall.get()),
+        ask_list_within: (conf.discovery == Discovery::OnRequest)
+            .then(|| Span::from_ms(rules.ask_within.get())),
+    }
 }
 
-fn group(i: usize, service: &Service, family: &Family) -> Result<ServiceGroup, String> {
-    let highest = (family.ladder_kb.len() - 1) as f64;
-    let of = |list: &[f64], left_out: f64| list.get(i).copied().unwrap_or(left_out);
-    if of(&family.floor_by_class, 0.0) > highest {
-        return Err(format!("settings: the floor of service {i} is above the ladder"));
-    }
-    Ok(ServiceGroup {
-        start_target: Span::from_ms(service.aim),
-        utility: service.credit,
-        care: match service.effect.as_str() {
-            "retryable" => Care::Safe,
-            "dedup" => Care::Dedup,
-            "fragile" => Care::Fragile,
-            other => return Err(format!("settings: unknown effect {other:?}")),
+fn group(i: usize, service: &Service, family: &Family) -> ServiceGroup {
+    let highest = family.ladder_kb.len() - 1;
+    let rung = |list: &[Whole], left_out: usize| {
+        Rung(list.get(i).map_or(left_out, |rung| rung.get()).min(highest) as u8)
+    };
+    ServiceGroup {
+        start_target: Span::from_ms(service.aim.get()),
+        utility: service.credit.get(),
+        care: match service.effect {
+            Effect::Retryable => Care::Safe,
+            Effect::Dedup => Care::Dedup,
+            Effect::Fragile => Care::Fragile,
         },
-        reach: match service.group.as_deref() {
-            None | Some("all") => Reach::Anywhere,
-            Some("zone") => Reach::SameZone,
-            _ => Reach::SameCell,
+        reach: match service.group {
+            Group::All => Reach::Anywhere,
+            Group::Zone => Reach::SameZone,
+            Group::Cell => Reach::SameCell,
         },
-        repeat_window: Span::from_ms(service.repeat_window),
+        repeat_window: Span::from_ms(service.repeat_window.get()),
         live: family.class_live.get(i).copied().unwrap_or(false),
-        scale: of(&family.class_scale, 1.0),
-        floor: Rung(of(&family.floor_by_class, 0.0) as u8),
-        top: Rung(of(&family.highest_rung, highest).min(highest) as u8),
-        seats: of(&family.class_seats, 0.0) as usize,
-    })
+        scale: family.class_scale.get(i).map_or(1.0, |scale| scale.get()),
+        floor: rung(&family.floor_by_class, 0),
+        top: rung(&family.highest_rung, highest),
+        seats: family.class_seats.get(i).map_or(0, |seats| seats.get()),
+    }
 }
 
 /// What a figure of a load report tells, by its name.
