A viewer that asks before the first round is answered within its own time

The new test fails without the change: 300 ms asked 60 ms before the first round were answered after 340.

Each line that a director writes can now be traced, and tags show as on the wire, so that one session can be followed through the logs of every director that touched it.

--- a/crates/platform/src/board.rs
+++ b/crates/platform/src/board.rs
@@ -211,6 +211,7 @@
                 self.act(now, effect);
             }
         }
+        self.actions.iter().for_each(|action| trace!(?action, "does"));
         std::mem::take(&mut self.actions)
     }
 
@@ -353,7 +354,10 @@
         if self.viewers.get(&link).is_some_and(|viewer| viewer.open.len() >= MOST_OPEN) {
             return self.refuse(link, tag, causes::CONGESTED);
         }
-        let want = ask.want;
+        let mut want = ask.want;
+        // Its viewer waits from now, also where the first round is a while off.
+        let until_first = self.begins.map_or(Span::ZERO, |at| at - now);
+        want.setup_timeout = want.setup_timeout - until_first;
         let Some(sess) = self.take_in_hand(now, link, tag, Some(Box::new(ask)), None) else { return };
         self.inputs.push(Input::Asked { sess, want });
     }
--- a/crates/platform/src/message.rs
+++ b/crates/platform/src/message.rs
@@ -11,9 +11,16 @@
 use crate::line;
 
 /// Names a session on the wire: 16 hex digits, kept as they came.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Tag([u8; 16]);
 
+/// As it stands on the wire, so that one session can be followed through the logs.
+impl std::fmt::Debug for Tag {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "{self}")
+    }
+}
+
 impl Tag {
     pub fn new(text: &str) -> Option<Tag> {
         let digits: [u8; 16] = text.as_bytes().try_into().ok()?;
--- a/crates/platform/src/tests.rs
+++ b/crates/platform/src/tests.rs
@@ -43,6 +43,14 @@
 impl Stage {
     /// A director that has passed its first test; one session plays at `a` already.
     pub fn begun() -> Stage {
+        let mut stage = Stage::tested();
+        stage.says(0, &start(HANDED_OVER, "home:0;copies:3;top:2;at:a", "handed over"));
+        stage.waits(101.0);
+        stage
+    }
+
+    /// One that has passed its first test just now.
+    fn tested() -> Stage {
         let config = Config::read(CONFIG).unwrap();
         let now = Instant::from_ms(1e9);
         let mut board = Board::new(&config, now);
@@ -50,8 +58,6 @@
         board.turn(now, [Event::Bus(news)]);
         let mut stage = Stage { board, config, now, dialed: BTreeMap::new(), shown: String::new() };
         stage.opens(0).says(0, r#"{"verb":"ECHO","tag":"00000000000000ee","opts":{},"rc":0}"#);
-        stage.says(0, &start(HANDED_OVER, "home:0;copies:3;top:2;at:a", "handed over"));
-        stage.waits(101.0);
         stage
     }
 
@@ -589,3 +595,23 @@
         prop_assert!(lines.decode(&mut buffer).is_err());
     }
 }
+
+#[test]
+fn who_asks_before_the_first_round_has_waited_by_then() {
+    let mut stage = Stage::tested();
+    let hurried = start(0x01, "home:0;copies:3;top:2", "v=0").replace("3000", "300");
+    // Of 300 ms, 20 are kept for the way of the answer and 60 pass until the first round.
+    stage.opens(1).waits(40.0).says(1, &hurried).waits(61.0).up("a0").shows(expect![[r#"
+        viewer 0 < {"verb":"ECHOED","tag":"ee","opts":{},"rc":1}
+        after 60 ms:
+        dial a0
+        node a0 < {"verb":"START","tag":"01","opts":{"class":"clip","key":"7f3a","left":"219","rung":"2"},"blob":"v=0"}
+    "#]]);
+    // No node answers: the last word is in time.
+    stage.waits(230.0).shows(expect![[r#"
+        after 219 ms:
+        node a0 < {"verb":"FINISH","tag":"01","opts":{},"rc":16}
+        hang up a0
+        viewer 1 < {"verb":"FINISH","tag":"01","opts":{},"rc":34}
+    "#]]);
+}
