A failed test is no word of what stands at a node: its end is found out, not waited for

Checked, by logs of both directors: no release was without a connection to its viewer; none of the lost plays' nodes was refused or given up at that director, though the other one had been refused. Ruled out: connections closed as idle after connIdle (a test earlier than that changed nothing; the time told is longer). At fault: crates/platform/src/peers.rs, heard(), where an answer that says failed counted as a word of the node, so that each put off for 5 s more what the end of the node should bring.

Change: a failed test neither counts as a word nor as a sign that the process went on; a connection is tried anew half a second after it, and is refused where nobody is there. The new test shows the viewer released; without the change nothing is dialled.

--- a/crates/platform/src/peers.rs
+++ b/crates/platform/src/peers.rs
@@ -171,7 +171,10 @@
         line.heard = now;
         let node = line.node;
         trace!(trunk = trunk.0, ?message, "heard");
-        if let Some(peer) = self.peers.get_mut(&node) {
+        // A node that fails a test may be past its end already, with its sessions: that is no word of what stands there, and
+        // a connection tried anew tells whether anybody is there.
+        let failed = message.verb == Verb::Echoed && message.cause != Some(1);
+        if let Some(peer) = self.peers.get_mut(&node).filter(|_| !failed) {
             (peer.heard, peer.tested) = (now, None);
         }
         let Some(tag) = message.tag else { return self.spoil(now, trunk) };
@@ -185,7 +188,7 @@
         let cut = message.verb == Verb::Finish && message.cause.is_none_or(|cause| cause == causes::CUT);
         let since = call.and_then(|call| call.at).filter(|_| stands && !cut).map(|(_, since)| since);
         let made = self.trunks.get(&trunk).map(|line| line.made);
-        if let Some(peer) = self.peers.get_mut(&node)
+        if let Some(peer) = self.peers.get_mut(&node).filter(|_| !failed)
             && let Some(doubted) = peer.doubted
             && made.into_iter().chain(since).any(|before| before < doubted)
         {
--- a/crates/platform/src/tests.rs
+++ b/crates/platform/src/tests.rs
@@ -633,3 +633,21 @@
         viewer 1 < {"verb":"FINISH","tag":"01","opts":{},"rc":34}
     "#]].assert_eq(&traces.concat());
 }
+
+#[test]
+fn a_failed_test_is_no_word_of_what_stood_at_a_node_past_its_end() {
+    let mut stage = Stage::begun();
+    stage.up("a0").waits(3900.0);
+    stage.node("a0", "ECHOED", 0x8c1f30d27a5be964, r#","opts":{},"rc":0"#).waits(500.0);
+    stage.down("a1", Fall::Refused).shows(expect![[r#"
+        viewer 0 < {"verb":"ECHOED","tag":"ee","opts":{},"rc":1}
+        dial a0
+        after 399 ms:
+        node a0 < {"verb":"RATE","tag":"a0","opts":{"rung":"1"}}
+        after 3649 ms:
+        node a0 < {"verb":"ECHO","tag":"8c1f30d27a5be964","opts":{},"rc":1}
+        after 499 ms:
+        dial a1
+        viewer 0 < {"verb":"FINISH","tag":"a0","opts":{},"rc":41}
+    "#]]);
+}
