--- a/src/policy.rs
+++ b/src/policy.rs
@@ -16,10 +16,9 @@
 const NEAR: f64 = 0.2;
 /// Past set-ups count half after so many seconds.
 const SUCCESS_HALF_LIFE: f64 = 30.0;
-/// What is reported of a node counts half after so many seconds, and gives way to our own part, scaled up.
+/// What is reported of a node, or seen of a short uplink, counts half after so many seconds, and gives way to what is
+/// held of the fleet.
 const REPORT_HALF_LIFE: f64 = 5.0;
-/// What a short uplink was seen to carry counts half after so many seconds: shortages outlast reports.
-const CARRY_HALF_LIFE: f64 = 10.0;
 /// A rung fits if so many times its rate does.
 const RATE_MARGIN: f64 = 1.1;
 /// By so much more, as a power of what its last kB earn, at a node that isn't heard of.
@@ -160,7 +159,7 @@
 
     /// What the uplink carries by the last shortage, drifting back to the mean.
     fn uplink(&self, rack: usize) -> f64 {
-        let fresh = halved(self.now - self.racks.seen[rack], CARRY_HALF_LIFE);
+        let fresh = halved(self.now - self.racks.seen[rack], REPORT_HALF_LIFE);
         self.plant.uplink + (self.racks.carries[rack] - self.plant.uplink) * fresh
     }
 
