--- a/src/policy.rs
+++ b/src/policy.rs
@@ -16,8 +16,8 @@
 const NEAR: f64 = 0.2;
 /// Past set-ups count half after so many seconds.
 const SUCCESS_HALF_LIFE: f64 = 30.0;
-/// What is reported of a node, or seen of a short uplink, counts half after so many seconds, and gives way to what is
-/// held of the fleet.
+/// What is reported of a node, or seen of a short uplink, counts half after so many seconds, and gives way
+/// to what is held of the fleet.
 const REPORT_HALF_LIFE: f64 = 5.0;
 /// A rung fits if so many times its rate does.
 const RATE_MARGIN: f64 = 1.1;
