Module: a live session beside one of ours at that rung needs only what joining adds

Fault: fitting() asked for the whole rate also where we already play that title at that rung and the score prefers just that node for it.

Held against any crowd for one title; it may hurt where a joined stream is cut just then.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -246,7 +246,15 @@
         }
         // Unheard of, it may be fuller than most: a rung whose last kB earn little waits for more room.
         let blind = 1.0 - self.fresh(i).min(p.heard[self.fleet.rack[i]]);
-        let need = |r: usize| terms.rates[r] * RATE_MARGIN * terms.dear[r].powf(blind * CAUTION);
+        // Viewers of one live stream share it: beside one of ours at that rung, one more adds a part.
+        let joins = |r: usize| {
+            let beside = |o: &Sitting| o.plays && o.same_seat(s) && usize::from(o.rung) == r;
+            terms.group.live && self.sess.at(i).any(|(_, o)| beside(o))
+        };
+        let need = |r: usize| {
+            let part = if joins(r) { self.plant.join } else { 1.0 };
+            terms.rates[r] * part * RATE_MARGIN * terms.dear[r].powf(blind * CAUTION)
+        };
         let room = self.room(p, i, terms.stake.sqrt());
         (floor..=top).rev().find(|&r| r == floor || need(usize::from(r)) <= room)
     }
--- a/src/state.rs
+++ b/src/state.rs
@@ -25,7 +25,7 @@
     link_unit: f64,
     /// kB a second of a rack's uplink on average; 0 where none is told.
     pub uplink: f64,
-    join: f64,
+    pub join: f64,
     pub notice: Span,
     pub gauges: Vec<Gauge>,
     /// Probes tell of load, and nothing else does.
