Module: live titles are drawn to like nodes at all directors by a hash of title and node

A director holds two or three live sessions, so viewers of one title met at a node by chance only, while joining costs 0.15 of the rate. Fault: the order of chance among near-equals in list() was drawn apart at each director for live titles too. With one hash all draw alike.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -339,7 +339,12 @@
         let fits = |i: usize| self.fitting(p, s, i).map(|rung| (score(i), i, rung));
         let mut list: Vec<_> = (0..f.node.len()).filter(may).filter_map(fits).collect();
         // Many directors see the same figures: among near-equals each has an order of its own.
-        list.iter_mut().for_each(|entry| entry.0 += NEAR * self.rng.rand_float());
+        let together = terms.live && self.plant.join < 1.0;
+        let title = s.want.title.0;
+        for entry in &mut list {
+            let chance = if together { spread(title, self.fleet.node[entry.1].0) } else { self.rng.rand_float() };
+            entry.0 += NEAR * chance;
+        }
         list.sort_by(|a, b| b.0.total_cmp(&a.0));
         list
     }
@@ -757,3 +762,11 @@
 fn halved(age: Span, half_life: f64) -> f64 {
     0.5f64.powf((age / Span::from_secs(half_life)).max(0.0))
 }
+
+/// An even draw from 0 to 1 that is the same at all directors.
+fn spread(title: u64, node: u64) -> f64 {
+    let mut x = title ^ node.wrapping_mul(0x9e37_79b9_7f4a_7c15);
+    x = (x ^ (x >> 32)).wrapping_mul(0xd6e8_feb8_6659_fd93);
+    x = (x ^ (x >> 32)).wrapping_mul(0xd6e8_feb8_6659_fd93);
+    ((x ^ (x >> 32)) >> 11) as f64 / (1u64 << 53) as f64
+}
