Module: started without sessions, a director doesn't hold the fleet for empty

Ruled out: nodes already known as short (one in ten), the answer's way (0.1 ms of it is ours). Fault: picture() took 'we hold nothing' for 'nothing is asked', scaled by the number of directors, so many that came back together all asked for the highest rungs.

Tests: three traces.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -79,6 +79,8 @@
     counts: Counts,
     list_asked: Instant,
     follows: bool,
+    /// Sessions that played already were handed to us at our start.
+    handed: bool,
 }
 
 /// What the fleet is held to be asked for.
@@ -115,6 +117,7 @@
             counts: Counts::default(),
             list_asked: now,
             follows: false,
+            handed: false,
         }
     }
 
@@ -126,7 +129,8 @@
         if first {
             // Handed no sessions, we may have started at any time: our list vouches for no node, and each is
             // held to have started no earlier than we did.
-            if !self.sess.iter().any(|(_, s)| s.plays) {
+            self.handed = self.sess.iter().any(|(_, s)| s.plays);
+            if !self.handed {
                 self.fleet.born.fill(now);
                 self.fleet.vouched.fill(now);
             }
@@ -180,8 +184,12 @@
         // are, so a full node counts less, as it is met more often.
         let (own, all) = ready.iter().fold((0.0, 0.0), |(a, b), &i| (a + self.sess.own(i), b + gives[i]));
         let weight = ready.len() as f64 / self.plant.directors;
-        let (mut sum, mut weights) =
-            ((own * self.plant.directors / f64::max(all, 1.0)).min(1.0) * weight, weight);
+        // Started without sessions we hold none yet: until some had the time to come, that says nothing, and the
+        // fleet is held to be full. Guards against many that come back at once and all ask for the highest rungs.
+        let met =
+            if self.handed { 1.0 } else { ((self.now - self.begun) / Span::from_secs(QUIET.0)).min(1.0) };
+        let seen = (own * self.plant.directors / f64::max(all, 1.0)).min(1.0) * met + MOST_FULL * (1.0 - met);
+        let (mut sum, mut weights) = (seen * weight, weight);
         for &i in &ready {
             let level = (self.sess.own(i) + f.others[i]) / gives[i].max(1.0);
             let often = if self.plant.blind { 1.0 } else { level.clamp(LEAST_MET, 1.0) };
@@ -342,7 +350,8 @@
         let together = terms.live && self.plant.join < 1.0;
         let title = s.want.title.0;
         for entry in &mut list {
-            let chance = if together { spread(title, self.fleet.node[entry.1].0) } else { self.rng.rand_float() };
+            let chance =
+                if together { spread(title, self.fleet.node[entry.1].0) } else { self.rng.rand_float() };
             entry.0 += NEAR * chance;
         }
         list.sort_by(|a, b| b.0.total_cmp(&a.0));
--- a/tests/desk/mod.rs
+++ b/tests/desk/mod.rs
@@ -98,10 +98,7 @@
     /// Nodes 1 to `nodes`, in cells from 0, ready; `setup` changes the headend first. Session 900 is handed
     /// over, so that the list vouches for the nodes.
     pub fn open(nodes: u64, setup: impl FnOnce(&mut Headend)) -> Desk {
-        let mut head = headend();
-        setup(&mut head);
-        let director = Director::start(&head, Instant::from_ms(0.0));
-        let mut desk = Desk { director, out: Printer::default(), trace: String::new() };
+        let mut desk = Desk::bare(setup);
         desk.at(0.0, |r| {
             r.list_whole();
             (1..=nodes).for_each(|n| r.node_ready(Node(n), place(n, None)));
@@ -111,6 +108,14 @@
         desk
     }
 
+    /// A director that nothing was told or handed to yet.
+    pub fn bare(setup: impl FnOnce(&mut Headend)) -> Desk {
+        let mut head = headend();
+        setup(&mut head);
+        let director = Director::start(&head, Instant::from_ms(0.0));
+        Desk { director, out: Printer::default(), trace: String::new() }
+    }
+
     pub fn shows(&self, trace: Expect) {
         trace.assert_eq(&self.trace);
     }
--- a/tests/traces.rs
+++ b/tests/traces.rs
@@ -535,3 +535,75 @@
     "#]]
     .assert_eq(&traces);
 }
+
+/// Many come back at once and know nothing: if all took the fleet for empty, its links would be asked for twice over.
+#[test]
+fn a_director_that_starts_without_sessions_does_not_hold_the_fleet_for_empty() {
+    let traces = [1.0, 25.0].map(|secs| {
+        let mut desk = Desk::bare(|head| (head.directors, head.warm_after) = (40, Span::from_secs(0.5)));
+        desk.at(0.0, |r| {
+            r.list_whole();
+            (1..=30).for_each(|n| r.node_ready(Node(n), Place { cell: Cell(0), ..place(n, None) }));
+            r.list_done();
+        });
+        desk.at(secs, |r| r.asked(Sess(1), want(1, 0, 3)));
+        desk.trace
+    });
+    expect![[r#"
+        1.00 s: rung 0 of 1, setup 1 at 8 until 1500
+        25.00 s: rung 2 of 1, setup 1 at 8 until 25500
+    "#]]
+    .assert_eq(&traces.concat());
+}
+
+#[test]
+fn a_live_title_is_drawn_to_one_node_by_directors_that_know_nothing_of_each_other() {
+    let traces = [true, false].map(|live| {
+        let at = (1..=6).map(|seed| {
+            let mut desk = Desk::open(6, |head| {
+                (head.seed, head.directors) = (seed, 40);
+                (head.groups[0].live, head.join) = (live, 0.2);
+            });
+            desk.at(1.0, |r| r.asked(Sess(1), want(2, 0, 0)));
+            desk.trace
+        });
+        format!("live {live}\n{}", at.collect::<String>())
+    });
+    expect![[r#"
+        live true
+        1.00 s: rung 0 of 1, setup 1 at 3 until 1500
+        1.00 s: rung 0 of 1, setup 1 at 3 until 1500
+        1.00 s: rung 0 of 1, setup 1 at 3 until 1500
+        1.00 s: rung 0 of 1, setup 1 at 3 until 1500
+        1.00 s: rung 0 of 1, setup 1 at 3 until 1500
+        1.00 s: rung 0 of 1, setup 1 at 3 until 1500
+        live false
+        1.00 s: rung 0 of 1, setup 1 at 2 until 1500
+        1.00 s: rung 0 of 1, setup 1 at 2 until 1500
+        1.00 s: rung 0 of 1, setup 1 at 2 until 1500
+        1.00 s: rung 0 of 1, setup 1 at 4 until 1500
+        1.00 s: rung 0 of 1, setup 1 at 3 until 1500
+        1.00 s: rung 0 of 1, setup 1 at 5 until 1500
+    "#]]
+    .assert_eq(&traces.concat());
+}
+
+#[test]
+fn beside_one_of_ours_a_live_session_needs_only_what_joining_adds() {
+    let traces = [0.15, 1.0].map(|join| {
+        let mut desk = Desk::open(1, |head| (head.groups[0].live, head.join) = (true, join));
+        desk.at(0.5, |r| {
+            r.plays_at(Sess(900), Rung(2));
+            r.reported(Node(1), &[0.8]);
+        });
+        desk.at(1.0, |r| r.asked(Sess(1), want(1, 0, 2)));
+        format!("joining adds {join}\n{}", desk.trace)
+    });
+    expect![[r#"
+        joining adds 0.15
+        1.00 s: rung 2 of 1, setup 1 at 1 until 1500
+        joining adds 1
+        1.00 s: rung 1 of 1, setup 1 at 1 until 1500
+    "#]]
+    .assert_eq(&traces.concat());
+}
