Module: our own zone weighs 0.5 in the score, not 0.02; crossing halls had been taken for free

Fault: ZONE_WEIGHT, fitted where crossing cost 0.01.

It may hurt where a zone's own nodes are full and unheard of. Traces: other nodes of like room come first.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -9,7 +9,7 @@
 use crate::time::{Instant, Span};
 
 /// Weights of the score: our zone, set-up success, free room.
-const ZONE_WEIGHT: f64 = 0.02;
+const ZONE_WEIGHT: f64 = 0.5;
 const SUCCESS_WEIGHT: f64 = 1.0;
 const ROOM_WEIGHT: f64 = 3.0;
 /// Scores that differ by less are as good as equal: chance decides.
--- a/tests/traces.rs
+++ b/tests/traces.rs
@@ -33,8 +33,8 @@
     desk.ended(1.3, 1, Ending::Silent);
     desk.shows(expect![[r#"
         1.00 s: rung 2 of 1, setup 1 at 2 until 1500
-        1.10 s: setup 1 at 3 until 1550
-        1.20 s: setup 1 at 4 until 4000
+        1.10 s: setup 1 at 4 until 1550
+        1.20 s: setup 1 at 3 until 4000
         1.30 s: busy 1 Some(1000.0)
     "#]]);
 }
@@ -110,8 +110,8 @@
         1.20 s: tear down 1
         Dedup Anywhere
         1.00 s: rung 0 of 1, setup 1 at 2 until 4000
-        1.10 s: setup 1 at 3 until 4000
-        1.20 s: setup 1 at 4 until 4000
+        1.10 s: setup 1 at 4 until 4000
+        1.20 s: setup 1 at 3 until 4000
     "#]]
     .assert_eq(&traces.concat());
 }
@@ -153,7 +153,7 @@
         (1..=3).for_each(|n| r.asked(Sess(n), want(1, 0, 0)));
     });
     desk.shows(expect![[r#"
-        30.00 s: rung 0 of 1, setup 1 at 10 until 30500, rung 0 of 2, setup 2 at 8 until 30500, rung 0 of 3, setup 3 at 9 until 30500
+        30.00 s: rung 0 of 1, setup 1 at 10 until 30500, rung 0 of 2, setup 2 at 8 until 30500, rung 0 of 3, setup 3 at 10 until 30500
     "#]]);
 }
 
@@ -222,7 +222,7 @@
     }
     desk.shows(expect![[r#"
         0.10 s: rung 2 of 1, setup 1 at 6 until 600
-        0.20 s: rung 2 of 2, setup 2 at 1 until 700
+        0.20 s: rung 2 of 2, setup 2 at 2 until 700
         0.30 s: rung 1 of 3, setup 3 at 4 until 800
         0.40 s: busy 4 Some(1000.0)
     "#]]);
@@ -264,8 +264,8 @@
     desk.ended(1.1, 4, Ending::Full);
     desk.ended(1.2, 4, Ending::Full);
     desk.shows(expect![[r#"
-        1.00 s: rung 0 of 1, setup 1 at 3 until 1500, busy 2 Some(1000.0), busy 3 Some(1000.0), rung 1 of 4, setup 4 at 2 until 1500
-        1.10 s: setup 4 at 3 until 1550
+        1.00 s: rung 0 of 1, setup 1 at 4 until 1500, busy 2 Some(1000.0), busy 3 Some(1000.0), rung 1 of 4, setup 4 at 2 until 1500
+        1.10 s: setup 4 at 4 until 1550
         1.20 s: busy 4 Some(1000.0)
     "#]]);
 }
@@ -328,11 +328,11 @@
     let patience = Span::from_ms(300.0);
     desk.at(9.0, |r| r.asked(Sess(3), Viewing { patience, ..want(1, 0, 0) }));
     desk.shows(expect![[r#"
-        3.50 s: probe 1, probe 2
+        3.50 s: probe 2, probe 1
         3.52 s: rung 1 of 1, setup 1 at 2 until 4010
         3.60 s: probe 3
-        4.20 s: rung 1 of 2, setup 2 at 3 until 4450
-        9.00 s: rung 0 of 3, setup 3 at 2 until 9300
+        4.20 s: rung 1 of 2, setup 2 at 2 until 4450
+        9.00 s: rung 0 of 3, setup 3 at 3 until 9300
     "#]]);
 }
 
@@ -571,19 +571,19 @@
     });
     expect![[r#"
         live true
-        1.00 s: rung 0 of 1, setup 1 at 3 until 1500
-        1.00 s: rung 0 of 1, setup 1 at 3 until 1500
-        1.00 s: rung 0 of 1, setup 1 at 3 until 1500
-        1.00 s: rung 0 of 1, setup 1 at 3 until 1500
-        1.00 s: rung 0 of 1, setup 1 at 3 until 1500
-        1.00 s: rung 0 of 1, setup 1 at 3 until 1500
+        1.00 s: rung 0 of 1, setup 1 at 4 until 1500
+        1.00 s: rung 0 of 1, setup 1 at 4 until 1500
+        1.00 s: rung 0 of 1, setup 1 at 4 until 1500
+        1.00 s: rung 0 of 1, setup 1 at 4 until 1500
+        1.00 s: rung 0 of 1, setup 1 at 4 until 1500
+        1.00 s: rung 0 of 1, setup 1 at 4 until 1500
         live false
         1.00 s: rung 0 of 1, setup 1 at 2 until 1500
         1.00 s: rung 0 of 1, setup 1 at 2 until 1500
         1.00 s: rung 0 of 1, setup 1 at 2 until 1500
         1.00 s: rung 0 of 1, setup 1 at 4 until 1500
-        1.00 s: rung 0 of 1, setup 1 at 3 until 1500
-        1.00 s: rung 0 of 1, setup 1 at 5 until 1500
+        1.00 s: rung 0 of 1, setup 1 at 6 until 1500
+        1.00 s: rung 0 of 1, setup 1 at 6 until 1500
     "#]]
     .assert_eq(&traces.concat());
 }
