--- a/src/policy.rs
+++ b/src/policy.rs
@@ -62,7 +62,7 @@
 /// and the most nodes that are probed for one session.
 const PROBE_SPEND: f64 = 0.03;
 const PROBE_SPEND_TOLD: f64 = 0.01;
-const PROBES: f64 = 3.0;
+const PROBES: f64 = 2.0;
 /// A session whose setup timeout is nearer than so many of the shortest start target isn't kept for probes.
 const HURRY: f64 = 2.0;
 
