Module: a full reply tells that the link is asked for as much as the guard says

The setting familyInfo.guard is read now, in crates/site; the director's own settings have no such figure and stand as before.

--- a/crates/settings/src/headend.rs
+++ b/crates/settings/src/headend.rs
@@ -267,6 +267,8 @@
         link_unit: at.within("links.unit_kb_per_s", links.unit_kb_per_s, 1e-3, 1e12)?,
         uplink: at.within("links.uplink_kb_per_s", Some(links.uplink_kb_per_s.unwrap_or(0.0)), 0.0, 1e12)?,
         join: at.within("links.join", Some(links.join.unwrap_or(1.0)), 0.0, 1.0)?,
+        // A full node says so by its answer; of what its link is asked for then, the schema tells nothing.
+        guard: 0.0,
         notice: ms("reports.notice_ms", reports.notice_ms, 0.0)?,
         // In the order in which the shell hands figures on.
         gauges: vec![Gauge::Link, Gauge::Uplink, Gauge::Streams],
--- a/crates/site/src/lib.rs
+++ b/crates/site/src/lib.rs
@@ -74,6 +74,8 @@
     link_unit_kb: Above0,
     positions: Whole<1, 65535>,
     #[serde(default)]
+    guard: From0,
+    #[serde(default)]
     see: From0,
     #[serde(default)]
     uplink_kb: From0,
@@ -296,6 +298,7 @@
         link_unit: family.link_unit_kb.get(),
         uplink: family.uplink_kb.get(),
         join: family.join_adds.map_or(1.0, From0::get),
+        guard: family.guard.get(),
         notice: Span::from_ms(family.see.get()),
         gauges: conf.telemetry.fields.iter().map(|name| gauge(name)).collect(),
         probe_only: conf.telemetry.via == Via::Pull,
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -674,7 +674,8 @@
         (setting_up && fails).then(|| d.came(i, false));
         match how {
             Ending::Full => {
-                d.fleet.others[i] = (d.fleet.link[i] - d.sess.own(i)).max(d.fleet.others[i]);
+                let asked = d.fleet.link[i] * d.plant.full_at;
+                d.fleet.others[i] = (asked - d.sess.own(i)).max(d.fleet.others[i]);
                 d.fleet.measured[i] = d.now;
             }
             // It may restart unseen: its pace is the least until it plays.
--- a/src/state.rs
+++ b/src/state.rs
@@ -26,6 +26,8 @@
     /// kB a second of a rack's uplink on average; 0 where none is told.
     pub uplink: f64,
     pub join: f64,
+    /// What is asked of a full node's link at least, over what it gives.
+    pub full_at: f64,
     pub notice: Span,
     pub gauges: Vec<Gauge>,
     /// Probes tell of load, and nothing else does.
@@ -77,6 +79,7 @@
             link_unit: head.link_unit,
             uplink: head.uplink,
             join: head.join,
+            full_at: if head.guard > 0.0 { head.guard } else { 1.0 },
             notice: head.notice,
             gauges: head.gauges.clone(),
             may_probe: head.may_probe && !head.gauges.is_empty(),
@@ -435,6 +438,7 @@
             link_unit: 1.0,
             uplink: 0.0,
             join: 1.0,
+            guard: 0.0,
             notice: Span::ZERO,
             gauges: Vec::new(),
             probe_only: false,
