Module: the free part of a large link is left to those that come before a report can tell

Seen in zone+mass 12 and herd+mass, followed through all directors' logs with what each held of the fleet at each SETUP: links carry 350 to 700 sessions at the middle rate, and directors that held the fleet for asked twice over still sent half of all SETUPs at the highest rung, as a tenth of such a link, or 0.45 of it, is many times a session's rate. Ruled out: knowing nothing (most had some 60 notes of short delivery in hand). Fault: room(), where LINK_PART had taken for granted that a link carries about ten sessions.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -37,6 +37,8 @@
 const LINK_PART: f64 = 0.45;
 /// What one may take of the uplink's free room, over an even part for each node of the rack.
 const UPLINK_PART: f64 = 0.9;
+/// Set-ups that come while what is told of a link is fresh, for each session at the middle rate that it carries.
+const CHURN: f64 = 0.02;
 /// What one session may count on of the fleet's capacity, over an even part, and over its part of free room.
 const EVEN_PART: f64 = 0.9;
 const MOST_OVER: f64 = 2.0;
@@ -239,7 +241,12 @@
     fn room(&self, p: &Picture, i: usize, claim: f64) -> f64 {
         let (link, uplink) = self.free(p, i);
         let mates = p.mates[self.fleet.rack[i]];
-        let part = (link * LINK_PART).min(uplink * UPLINK_PART / mates);
+        // The larger a link, the more others come to it before a report can tell of them. Guards against all of a large
+        // fleet taking a small free part of large links at once.
+        let crowd = |whole: f64| 1.0 / (1.0 + CHURN * whole / self.plant.middle.max(1.0));
+        let of_link = LINK_PART.min(crowd(self.fleet.link[i]));
+        let of_uplink = (UPLINK_PART / mates).min(crowd(self.plant.uplink));
+        let part = (link * of_link).min(uplink * of_uplink);
         part.max(p.even.min(part * MOST_OVER)) * claim
     }
 
--- a/tests/traces.rs
+++ b/tests/traces.rs
@@ -607,3 +607,23 @@
     "#]]
     .assert_eq(&traces.concat());
 }
+
+/// Two links a twenty-fifth free by report: what is free of the large one would do for several at the highest rung.
+#[test]
+fn free_room_of_a_large_link_is_left_to_those_that_come_meanwhile() {
+    let traces = [1.0, 40.0].map(|size| {
+        let mut desk = Desk::open(1, |head| head.link_unit *= size);
+        desk.at(1.0, |r| {
+            r.reported(Node(1), &[1.0 - 0.04]);
+            r.asked(Sess(1), want(1, 0, 3));
+        });
+        format!("link times {size}\n{}", desk.trace)
+    });
+    expect![[r#"
+        link times 1
+        1.00 s: busy 1 Some(1000.0)
+        link times 40
+        1.00 s: rung 1 of 1, setup 1 at 1 until 1500
+    "#]]
+    .assert_eq(&traces.concat());
+}
