Module: room goes by what a group needs, as far as the worst-served group counts

Fault: room was shared by utility alone; all groups had been taken to end at the same rung. Now also by the rate of a group's highest rung over the mean one's, to the power of twice goal.worstClass, which crates/site reads; serve's own settings have no goal: as before.

It may hurt where a group of high rungs is wanted by few of its viewers.

--- a/crates/engine/src/tests.rs
+++ b/crates/engine/src/tests.rs
@@ -36,6 +36,7 @@
         link_unit: 2000.0,
         uplink: 0.0,
         join: 1.0,
+        worst_group: 0.0,
         guard: 0.0,
         notice: Span::from_secs(1.0),
         gauges: vec![Gauge::Link],
--- a/crates/settings/src/headend.rs
+++ b/crates/settings/src/headend.rs
@@ -269,6 +269,7 @@
         join: at.within("links.join", Some(links.join.unwrap_or(1.0)), 0.0, 1.0)?,
         // A full node says so by its answer; of what its link is asked for then, the schema tells nothing.
         guard: 0.0,
+        worst_group: 0.0,
         notice: ms("reports.notice_ms", reports.notice_ms, 0.0)?,
         // In the order in which the shell hands figures on.
         gauges: vec![Gauge::Link, Gauge::Uplink, Gauge::Streams],
--- a/crates/site/src/lib.rs
+++ b/crates/site/src/lib.rs
@@ -20,6 +20,8 @@
     family_info: Family,
     #[serde(default)]
     fees: Fees,
+    #[serde(default)]
+    goal: Goal,
     limits: Limits,
     #[serde(default)]
     my_number: Whole,
@@ -87,6 +89,13 @@
     probe: From0,
 }
 
+#[derive(Default, Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct Goal {
+    #[serde(default)]
+    worst_class: From0,
+}
+
 #[derive(Deserialize)]
 #[serde(rename_all = "camelCase")]
 struct Limits {
@@ -298,6 +307,7 @@
         link_unit: family.link_unit_kb.get(),
         uplink: family.uplink_kb.get(),
         join: family.join_adds.map_or(1.0, From0::get),
+        worst_group: conf.goal.worst_class.get(),
         guard: family.guard.get(),
         notice: Span::from_ms(family.see.get()),
         gauges: conf.telemetry.fields.iter().map(|name| gauge(name)).collect(),
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -112,6 +112,8 @@
     pub uplink: f64,
     /// What a further viewer of a live stream adds, as a part of its rate.
     pub join: f64,
+    /// The part of the operators' goal that goes by the worst-served service group.
+    pub worst_group: f64,
     /// A node says that it is full while so many times its link is asked for; 0 where it never does for its link.
     pub guard: f64,
     /// How late delivered shares are told.
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -5,7 +5,7 @@
 
 use crate::ids::{Node, Rung, Sess, SetupNo, Ticket};
 use crate::interface::{Care, Ending, Gauge, Headend, Place, Ration, Reach, Viewing, Writer};
-use crate::state::{Counts, Fleet, Plant, Racks, Sitting, Sittings};
+use crate::state::{Counts, Fleet, Plant, Racks, Sitting, Sittings, Terms};
 use crate::time::{Instant, Span};
 
 /// Weights of the score: our zone, set-up success, free room.
@@ -39,6 +39,8 @@
 const UPLINK_PART: f64 = 0.9;
 /// Set-ups that come while what is told of a link is fresh, for each session at the middle rate that it carries.
 const CHURN: f64 = 0.02;
+/// How far room goes by need, over the part of the goal that goes by the worst-served group.
+const EVENNESS: f64 = 2.0;
 /// What one session may count on of the fleet's capacity, over an even part, and over its part of free room.
 const EVEN_PART: f64 = 0.9;
 const MOST_OVER: f64 = 2.0;
@@ -250,6 +252,13 @@
         part.max(p.even.min(part * MOST_OVER)) * claim
     }
 
+    /// What a session of a group counts for when room is shared out: by its utility, and by what it takes to serve it
+    /// whole as far as the worst-served group counts. Guards against a group that is served whole at half the rate
+    /// taking the room of one that needs twice as much.
+    fn claim(&self, terms: &Terms) -> f64 {
+        terms.stake.sqrt() * terms.need.powf(self.plant.worst_group * EVENNESS)
+    }
+
     /// The highest rung that fits node `i`; none if not even the lowest does.
     fn fitting(&self, p: &Picture, s: &Sitting, i: usize) -> Option<u8> {
         let terms = self.plant.of_group(s);
@@ -270,7 +279,7 @@
             let part = if joins(r) { self.plant.join } else { 1.0 };
             terms.rates[r] * part * RATE_MARGIN * terms.dear[r].powf(blind * CAUTION)
         };
-        let room = self.room(p, i, terms.stake.sqrt());
+        let room = self.room(p, i, self.claim(terms));
         (floor..=top).rev().find(|&r| r == floor || need(usize::from(r)) <= room)
     }
 
@@ -476,7 +485,7 @@
             let p = self.picture();
             let others = (p.asked[i] - self.sess.own(i)).max(0.0) / p.mean.max(1.0);
             let crowd = (1.0 + others * CLIMBERS).min(self.plant.directors);
-            if more <= self.room(&p, i, terms.stake.sqrt()) / crowd {
+            if more <= self.room(&p, i, self.claim(terms)) / crowd {
                 self.switch(id, next as u8, out);
             }
         }
--- a/src/state.rs
+++ b/src/state.rs
@@ -26,6 +26,7 @@
     /// kB a second of a rack's uplink on average; 0 where none is told.
     pub uplink: f64,
     pub join: f64,
+    pub worst_group: f64,
     /// What is asked of a full node's link at least, over what it gives.
     pub full_at: f64,
     pub notice: Span,
@@ -59,11 +60,14 @@
             (ladder[r].1 - worth).max(1e-9) / (ladder[r].0 - kb).max(1e-9)
         };
         let dear = |r| ladder[middle].1.max(1e-9) / ladder[middle].0.max(1e-9) / earns(r);
+        let highest = |g: &ServiceGroup| ladder.get(usize::from(g.top.0)).map_or(0.0, |&(kb, _)| kb);
         let terms = |g: &ServiceGroup| Terms {
             dear: (0..ladder.len()).map(dear).collect(),
             group: g.clone(),
             rates: head.ladder.iter().map(|&(kb, _)| kb * g.scale).collect(),
             stake: if mean > 0.0 { g.utility / mean } else { 1.0 },
+            need: highest(g)
+                / (head.groups.iter().map(highest).sum::<f64>() / head.groups.len() as f64).max(1e-9),
         };
         Plant {
             zone: head.zone,
@@ -79,6 +83,7 @@
             link_unit: head.link_unit,
             uplink: head.uplink,
             join: head.join,
+            worst_group: head.worst_group,
             full_at: if head.guard > 0.0 { head.guard } else { 1.0 },
             notice: head.notice,
             gauges: head.gauges.clone(),
@@ -133,6 +138,8 @@
     pub dear: Vec<f64>,
     /// Its utility over that of the average group.
     pub stake: f64,
+    /// The rate of its highest rung over that of the average group, its scale left out.
+    pub need: f64,
 }
 
 /// One session, from its request to its last outcome.
@@ -438,6 +445,7 @@
             link_unit: 1.0,
             uplink: 0.0,
             join: 1.0,
+            worst_group: 0.0,
             guard: 0.0,
             notice: Span::ZERO,
             gauges: Vec::new(),
--- a/tests/desk/mod.rs
+++ b/tests/desk/mod.rs
@@ -71,6 +71,7 @@
         link_unit: 2000.0,
         uplink: 0.0,
         join: 1.0,
+        worst_group: 0.0,
         guard: 0.0,
         notice: Span::from_secs(1.0),
         gauges: vec![Gauge::Link, Gauge::Uplink],
--- a/tests/traces.rs
+++ b/tests/traces.rs
@@ -627,3 +627,27 @@
     "#]]
     .assert_eq(&traces.concat());
 }
+
+/// One group is served whole at rung 1, the other needs rung 3: where the worst-served group counts, it gets more of the room.
+#[test]
+fn room_goes_by_what_a_group_needs_as_far_as_the_worst_served_counts() {
+    let traces = [0.0, 0.35].map(|worst| {
+        let mut desk = Desk::open(2, |head| {
+            (head.worst_group, head.groups[1].utility) = (worst, 1.0);
+            head.groups[0].top = Rung(1);
+        });
+        desk.at(1.0, |r| {
+            (1..=2).for_each(|n| r.reported(Node(n), &[0.6]));
+            r.asked(Sess(1), want(1, 0, 3));
+            r.asked(Sess(2), want(2, 1, 3));
+        });
+        format!("worst group counts {worst}\n{}", desk.trace)
+    });
+    expect![[r#"
+        worst group counts 0
+        1.00 s: rung 1 of 1, setup 1 at 2 until 1500, rung 1 of 2, setup 2 at 2 until 1500
+        worst group counts 0.35
+        1.00 s: rung 0 of 1, setup 1 at 2 until 1500, rung 1 of 2, setup 2 at 2 until 1500
+    "#]]
+    .assert_eq(&traces.concat());
+}
