--- a/src/policy.rs
+++ b/src/policy.rs
@@ -37,7 +37,7 @@
 const LINK_PART: f64 = 0.45;
 /// What one may take of the uplink's free room, over an even part for each node of the rack.
 const UPLINK_PART: f64 = 0.9;
-/// Set-ups that come while what is told of a link is fresh, for each session at the middle rate that it carries.
+/// Set-ups that come before a report of a link can tell, for each session at the middle rate that it carries.
 const CHURN: f64 = 0.02;
 /// How far room goes by need, over the part of the goal that goes by the worst-served group.
 const EVENNESS: f64 = 2.0;
@@ -188,8 +188,8 @@
         // are, so a full node counts less, as it is met more often.
         let (own, all) = ready.iter().fold((0.0, 0.0), |(a, b), &i| (a + self.sess.own(i), b + gives[i]));
         let weight = ready.len() as f64 / self.plant.directors;
-        // Started without sessions we hold none yet: until some had the time to come, that says nothing, and the
-        // fleet is held to be full. Guards against many that come back at once and all ask for the highest rungs.
+        // Started without sessions we hold none yet: until some had the time to come, that says nothing, and
+        // the fleet is held to be full. Guards against many that come back at once, all at the highest rungs.
         let met =
             if self.handed { 1.0 } else { ((self.now - self.begun) / Span::from_secs(QUIET.0)).min(1.0) };
         let seen = (own * self.plant.directors / f64::max(all, 1.0)).min(1.0) * met + MOST_FULL * (1.0 - met);
@@ -243,8 +243,8 @@
     fn room(&self, p: &Picture, i: usize, claim: f64) -> f64 {
         let (link, uplink) = self.free(p, i);
         let mates = p.mates[self.fleet.rack[i]];
-        // The larger a link, the more others come to it before a report can tell of them. Guards against all of a large
-        // fleet taking a small free part of large links at once.
+        // The larger a link, the more others come to it before a report can tell of them. Guards against all
+        // of a large fleet taking a small free part of large links at once.
         let crowd = |whole: f64| 1.0 / (1.0 + CHURN * whole / self.plant.middle.max(1.0));
         let of_link = LINK_PART.min(crowd(self.fleet.link[i]));
         let of_uplink = (UPLINK_PART / mates).min(crowd(self.plant.uplink));
@@ -252,9 +252,9 @@
         part.max(p.even.min(part * MOST_OVER)) * claim
     }
 
-    /// What a session of a group counts for when room is shared out: by its utility, and by what it takes to serve it
-    /// whole as far as the worst-served group counts. Guards against a group that is served whole at half the rate
-    /// taking the room of one that needs twice as much.
+    /// What a session of a group counts for when room is shared out: by its utility, and by what it takes to
+    /// serve it whole as far as the worst-served group counts. Guards against a group that is served whole at
+    /// half the rate taking the room of one that needs twice as much.
     fn claim(&self, terms: &Terms) -> f64 {
         terms.stake.sqrt() * terms.need.powf(self.plant.worst_group * EVENNESS)
     }
