Shared state without I/O: rights under bounds of the fleet, judgements on nodes, their spread

Need: directors know nothing of each other but turns at cold nodes, and a bound over the fleet can only be kept by rights that are held. crates/shared has rights lent by leases of a council's majority, which go where they are needed and come back; judgements on media nodes as a join, aged by each reader's clock, with what one source can move bounded; and their spread in messages of bounded size.

Not used by any director yet.

--- /dev/null
+++ b/crates/shared/src/member.rs
@@ -0,0 +1,163 @@
+//! One director's part: rights and judgements together, in words that are sent from one to one.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use ashglade::time::{Instant, Span};
+use serde::{Deserialize, Serialize};
+
+use crate::judgements::{Judgement, Judgements, Verdict};
+use crate::rights::{self, Held, Rights};
+use crate::spread::{self, Spread};
+use crate::{Terms, draw};
+
+/// What one director says to another.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Word {
+    pub from: u16,
+    pub to: u16,
+    /// [`Terms::digest`] of the one that says it.
+    pub terms: u64,
+    pub body: Body,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub enum Body {
+    Rights(rights::Message),
+    Spread(spread::Message),
+}
+
+/// What is believed just now, and what may be used.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct View {
+    /// By pool.
+    pub held: Vec<Held>,
+    /// Nodes that are tried last on others' word, with who speaks against each.
+    pub left: BTreeMap<u64, Vec<u16>>,
+    /// Directors heard of within a lease, ourselves among them.
+    pub heard: BTreeSet<usize>,
+}
+
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize)]
+pub struct Counters {
+    pub said: u64,
+    pub heard: u64,
+    /// From a director that was set up otherwise, or not for us.
+    pub other_terms: u64,
+    pub not_for_us: u64,
+    /// Judgements that were news.
+    pub news: u64,
+}
+
+#[derive(Clone, Debug)]
+pub struct Member {
+    terms: Terms,
+    digest: u64,
+    pub rights: Rights,
+    known: Judgements,
+    spread: Spread,
+    heard: BTreeMap<usize, Instant>,
+    /// Needs are told as they come; each is kept to for a lease, so that rights don't go to and fro.
+    needs: Vec<BTreeMap<Instant, usize>>,
+    pub counters: Counters,
+}
+
+/// Words are forgotten, and needs looked through, once in so long.
+const REMEMBERED_NEEDS: usize = 64;
+
+impl Member {
+    /// `process` is above that of the process before.
+    pub fn start(terms: Terms, process: u64, now: Instant) -> Member {
+        let first = process << 20;
+        Member {
+            digest: terms.digest(),
+            rights: Rights::start(terms.clone(), draw(&[process, terms.seed]).max(1), now),
+            known: Judgements::new(terms.me, terms.fade, first),
+            spread: Spread::new(terms.me, terms.directors(), terms.gossip, terms.seed ^ process, now),
+            heard: BTreeMap::new(),
+            needs: vec![BTreeMap::new(); terms.pools.len()],
+            counters: Counters::default(),
+            terms,
+        }
+    }
+
+    /// So many rights of a pool are needed now, over those that are kept; the most of a lease counts.
+    pub fn need(&mut self, pool: usize, count: usize, now: Instant) {
+        let lease = self.terms.lease;
+        let Some(needs) = self.needs.get_mut(pool) else { return };
+        needs.retain(|&at, &mut before| now - at < lease && before > count);
+        needs.insert(now, count);
+        while needs.len() > REMEMBERED_NEEDS {
+            needs.pop_first();
+        }
+        self.rights.need(pool, needs.values().copied().max().unwrap_or(0));
+    }
+
+    /// An own SETUP ended at this node.
+    pub fn saw(&mut self, node: u64, verdict: Verdict, now: Instant) {
+        if let Some(word) = self.known.saw(node, verdict, now) {
+            self.spread.news(&word);
+        }
+    }
+
+    pub fn next_due(&self) -> Instant {
+        self.rights.next_due().min(self.spread.next_due())
+    }
+
+    pub fn tick(&mut self, now: Instant) -> Vec<Word> {
+        self.known.forget(now);
+        let rights = self.rights.tick(now).into_iter().map(|(to, message)| (to, Body::Rights(message)));
+        let spread =
+            self.spread.tick(&self.known, now).into_iter().map(|(to, message)| (to, Body::Spread(message)));
+        let out: Vec<(usize, Body)> = rights.chain(spread).collect();
+        self.say(out)
+    }
+
+    fn say(&mut self, out: Vec<(usize, Body)>) -> Vec<Word> {
+        self.counters.said += out.len() as u64;
+        let (from, terms) = (self.terms.me as u16, self.digest);
+        out.into_iter().map(|(to, body)| Word { from, to: to as u16, terms, body }).collect()
+    }
+
+    /// A word came from the address of the director that it names.
+    pub fn take(&mut self, word: &Word, now: Instant) -> Vec<Word> {
+        let from = usize::from(word.from);
+        if usize::from(word.to) != self.terms.me || from >= self.terms.directors() || from == self.terms.me {
+            self.counters.not_for_us += 1;
+            return Vec::new();
+        }
+        if word.terms != self.digest {
+            self.counters.other_terms += 1;
+            return Vec::new();
+        }
+        self.counters.heard += 1;
+        self.heard.insert(from, now);
+        let out = match &word.body {
+            Body::Rights(message) => {
+                let answer = self.rights.take(from, message, now);
+                answer.into_iter().map(|(to, message)| (to, Body::Rights(message))).collect()
+            }
+            Body::Spread(message) => {
+                let before = self.known.len();
+                let answers = self.spread.take(from, message, &mut self.known, now);
+                self.counters.news += self.known.len().saturating_sub(before) as u64;
+                answers.into_iter().map(|(to, message)| (to, Body::Spread(message))).collect()
+            }
+        };
+        self.say(out)
+    }
+
+    /// What may be used until `early` from now at the least, and what is believed.
+    pub fn view(&self, now: Instant, early: Span) -> View {
+        let held = (0..self.terms.pools.len()).map(|pool| self.rights.held(pool, now + early)).collect();
+        let there = |at: &Instant| now - *at < self.terms.lease;
+        let mut heard: BTreeSet<usize> =
+            self.heard.iter().filter(|(_, at)| there(at)).map(|(&director, _)| director).collect();
+        heard.insert(self.terms.me);
+        View { held, left: self.known.left(&self.terms.zones, now), heard }
+    }
+
+    /// All that is held of media nodes, for who wants to look.
+    pub fn words(&self, now: Instant) -> impl Iterator<Item = Judgement> {
+        self.known.words(now)
+    }
+}
