--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -52,6 +52,11 @@
         #[arg(long)]
         settings: PathBuf,
     },
+    /// Shows what the director that runs with these settings believes of the others and of media nodes, and from whom.
+    Show {
+        #[arg(long)]
+        settings: PathBuf,
+    },
     /// Plays a recorded run again and compares what comes out.
     Replay {
         #[arg(long)]
@@ -79,7 +84,8 @@
                 Ok(runtime) => runtime,
                 Err(error) => return fail(error),
             };
-            let served = runtime.block_on(ashglade_director::serve(Options { settings, record }));
+            let served =
+                runtime.block_on(ashglade_director::serve(Options { settings, record, defect: None }));
             // Tasks that still wait for a socket are not waited for.
             runtime.shutdown_background();
             served.map_or_else(fail, |()| ExitCode::SUCCESS)
@@ -120,6 +126,13 @@
             }
             Err(trouble) => fail(trouble),
         },
+        Command::Show { settings } => match show(&settings) {
+            Ok(text) => {
+                print!("{text}");
+                ExitCode::SUCCESS
+            }
+            Err(trouble) => fail(trouble),
+        },
         Command::Replay { settings, record } => match replay(&settings, &record) {
             Ok((rounds, effects)) => {
                 println!("{rounds} rounds, {effects} effects, all the same");
@@ -130,14 +143,26 @@
     }
 }
 
+/// What a director wrote for others to see, and its age in seconds.
+fn view<T: serde::de::DeserializeOwned>(at: &std::path::Path) -> Result<(T, f64), String> {
+    let trouble = |e: &dyn std::fmt::Display| format!("{}: {e}", at.display());
+    let text = std::fs::read_to_string(at).map_err(|e| trouble(&e))?;
+    let age = std::fs::metadata(at).and_then(|m| m.modified()).map_err(|e| trouble(&e))?;
+    let age = age.elapsed().map_or(0.0, |age| age.as_secs_f64());
+    Ok((serde_json::from_str(&text).map_err(|e| trouble(&e))?, age))
+}
+
+fn show(path: &std::path::Path) -> Result<String, String> {
+    let (settings, ..) = ashglade_director::load(path).map_err(|e| e.to_string())?;
+    let at = ashglade_director::shared_view(&settings, path).ok_or("settings name no talk.share.view")?;
+    let (view, age) = view::<ashglade_talk::View>(&at)?;
+    Ok(format!("as it was {age:.0} s ago\n{view}"))
+}
+
 fn door(path: &std::path::Path) -> Result<String, String> {
     let (settings, ..) = ashglade_director::load(path).map_err(|e| e.to_string())?;
     let at = ashglade_director::door_view(&settings, path).ok_or("settings name no door.view")?;
-    let trouble = |e: &dyn std::fmt::Display| format!("{}: {e}", at.display());
-    let text = std::fs::read_to_string(&at).map_err(|e| trouble(&e))?;
-    let age = std::fs::metadata(&at).and_then(|m| m.modified()).map_err(|e| trouble(&e))?;
-    let age = age.elapsed().map_or(0.0, |age| age.as_secs_f64());
-    let view: ashglade_engine::DoorView = serde_json::from_str(&text).map_err(|e| trouble(&e))?;
+    let (view, age) = view::<ashglade_engine::DoorView>(&at)?;
     let mut told =
         format!("as it was {age:.0} s ago\nset-ups in hand {} of {:.0}\n", view.inside, view.limit);
     for (name, waiting) in settings.group_names.iter().zip(&view.waiting) {
--- a/crates/director/src/attempt.rs
+++ b/crates/director/src/attempt.rs
@@ -7,6 +7,7 @@
 
 use ashglade::ids::{Sess, SetupNo};
 use ashglade::interface::Ending;
+use ashglade::time::{Instant, Span};
 use ashglade_engine::{Input, Load};
 use ashglade_rtsp::client::{Answer, Client};
 use ashglade_rtsp::{Packet, Response, messages};
@@ -49,23 +50,41 @@
 pub struct Begins {
     pub sess: Sess,
     pub setup: SetupNo,
+    /// When the engine decided it.
+    decided: Instant,
     written: Arc<AtomicBool>,
 }
 
 impl Begins {
-    pub async fn writing(&self, shared: &Shared) {
+    /// False if it must not be written any longer: a director that stood still since it decided may have decided it by
+    /// rights that are another's by now. Only where directors share any.
+    pub async fn writing(&self, shared: &Shared) -> bool {
+        let within = Span::from_secs(shared.settings.front.connect_timeout.as_secs_f64() + LATE);
+        if shared.settings.talk.is_some() && shared.clock.now() - self.decided > within {
+            return false;
+        }
         self.written.store(true, Ordering::SeqCst);
         shared.core.tell(Input::Written { sess: self.sess, setup: self.setup }).await;
+        true
     }
 }
 
+/// What tasks may wait for each other between the decision and the first byte, in seconds, beyond the connection: under what
+/// rights are given up early by.
+const LATE: f64 = 0.2;
+
 impl<T: Send + 'static> Attempt<T> {
-    pub fn start<F>(sess: Sess, setup: SetupNo, send: impl FnOnce(Begins) -> F) -> Attempt<T>
+    pub fn start<F>(
+        sess: Sess,
+        setup: SetupNo,
+        decided: Instant,
+        send: impl FnOnce(Begins) -> F,
+    ) -> Attempt<T>
     where
         F: Future<Output = Outcome<T>> + Send + 'static,
     {
         let written = Arc::new(AtomicBool::new(false));
-        let task = tokio::spawn(send(Begins { sess, setup, written: written.clone() }));
+        let task = tokio::spawn(send(Begins { sess, setup, decided, written: written.clone() }));
         Attempt { setup, task, written }
     }
 
@@ -104,7 +123,10 @@
     let mut connection = connection.map_err(|_| (End::As(Ending::Unreachable), None))?;
     let mut client = Client::new(url);
     let request = client.setup(track, shared.clock.micros());
-    begins.writing(&shared).await;
+    if !begins.writing(&shared).await {
+        shared.pool.put(node, connection);
+        return Err((End::As(Ending::Unsent), None));
+    }
     let lost = |_| (End::As(Ending::Lost), None);
     connection.send(Packet::Request(request)).await.map_err(lost)?;
     loop {
--- a/crates/director/src/core.rs
+++ b/crates/director/src/core.rs
@@ -10,7 +10,7 @@
 use ashglade::interface::Ending;
 use ashglade::time::Instant;
 use ashglade_engine::record::{Head, Line};
-use ashglade_engine::{Answer, Effect, Engine, Input, Start, Tally};
+use ashglade_engine::{Answer, Effect, Engine, Input, Seen, Start, Tally};
 use ashglade_ledger::{Held, Ledger, Outcome, pages};
 use tokio::sync::{mpsc, oneshot, watch};
 use tracing::{debug, info, warn};
@@ -29,7 +29,7 @@
 /// What a session's task is told.
 #[derive(Clone, Copy, Debug)]
 pub enum Order {
-    Setup { setup: SetupNo, address: SocketAddr, http: Option<SocketAddr>, rung: Rung },
+    Setup { setup: SetupNo, address: SocketAddr, http: Option<SocketAddr>, rung: Rung, decided: Instant },
     Withdraw { setup: SetupNo, if_unsent: bool },
     Answer(Answer),
     Rung(Rung),
@@ -123,6 +123,12 @@
     }
 }
 
+impl ashglade_talk::Engine for Core {
+    async fn tell(&self, input: Input) {
+        Core::tell(self, input).await;
+    }
+}
+
 /// The session's task needs no more orders. A SETUP that was ordered and not yet begun never ran.
 pub async fn close(core: &Core, sess: Sess, orders: &mut mpsc::Receiver<Order>) {
     orders.close();
@@ -143,6 +149,10 @@
     record: Option<std::io::BufWriter<std::fs::File>>,
     book: Book,
     drained: watch::Sender<bool>,
+    /// What came of SETUPs is told here, where directors share it.
+    seen: Option<mpsc::Sender<Seen>>,
+    /// Of it, what could not be told in the last second.
+    unseen: u64,
 }
 
 /// Runs until no task holds a [`Core`] any longer.
@@ -153,6 +163,7 @@
     record: Option<std::fs::File>,
     book: Book,
     drained: watch::Sender<bool>,
+    seen: Option<mpsc::Sender<Seen>>,
 ) {
     let clock = shared.clock;
     let begun = clock.now();
@@ -161,7 +172,8 @@
         write_line(file, &Head { started: begun });
     }
     let engine = Engine::start(start, begun);
-    let mut this = Loop { engine, shared, sessions: HashMap::new(), next: Vec::new(), record, book, drained };
+    let (sessions, next) = (HashMap::new(), Vec::new());
+    let mut this = Loop { engine, shared, sessions, next, record, book, drained, seen, unseen: 0 };
     let mut taken = Vec::with_capacity(ROUND);
     let mut flushed = clock.now();
     loop {
@@ -193,6 +205,9 @@
 impl Loop {
     /// Brings the record up to date and shows the door.
     fn each_second(&mut self) {
+        if std::mem::take(&mut self.unseen) > 0 {
+            warn!("ends of SETUPs came faster than they could be told to other directors");
+        }
         if let Some(file) = &mut self.record {
             let _ = file.flush();
         }
@@ -251,21 +266,26 @@
     fn round(&mut self, now: Instant, inputs: Vec<Input>) {
         let recorded = self.record.is_some().then(|| inputs.clone());
         let effects = self.engine.round(now, inputs);
+        if let Some(seen) = &self.seen {
+            // What doesn't fit is one director's sight of one SETUP; it is counted.
+            let lost = self.engine.seen().iter().filter(|&&outcome| seen.try_send(outcome).is_err());
+            self.unseen += lost.count() as u64;
+        }
         if let (Some(file), Some(inputs)) = (&mut self.record, recorded) {
             write_line(file, &Line { at: now, inputs, effects: effects.clone() });
         }
         for effect in effects {
-            self.act(effect);
+            self.act(now, effect);
         }
     }
 
-    fn act(&mut self, effect: Effect) {
+    fn act(&mut self, now: Instant, effect: Effect) {
         match effect {
             Effect::Setup { sess, setup, node, rung, .. } => {
                 let addresses = self.engine.roster().entry(node).map(|entry| (entry.address, entry.http));
                 let sent = addresses.is_some_and(|(address, http)| {
                     debug!(sess = sess.0, node = %address, rung = rung.0, "SETUP");
-                    self.order(sess, Order::Setup { setup, address, http, rung })
+                    self.order(sess, Order::Setup { setup, address, http, rung, decided: now })
                 });
                 if !sent {
                     self.next.push(Input::Ended { sess, setup, how: Ending::Unsent, load: None });
--- a/crates/director/src/hls/fetch.rs
+++ b/crates/director/src/hls/fetch.rs
@@ -61,7 +61,9 @@
     // Ends with this task: to give the SETUP up closes its connection.
     let driver = tokio::spawn(connection);
     let _abort = AbortOnDrop(driver.abort_handle());
-    begins.writing(&shared).await;
+    if !begins.writing(&shared).await {
+        return Err((End::As(Ending::Unsent), None));
+    }
     let response = sender.send_request(request).await.map_err(|_| (End::As(Ending::Lost), None))?;
     let load = load_of(&response);
     match response.status() {
--- a/crates/director/src/hls/session.rs
+++ b/crates/director/src/hls/session.rs
@@ -183,12 +183,12 @@
     async fn order(&mut self, order: Order) {
         let shared = self.front.shared.clone();
         match order {
-            Order::Setup { setup, http, address, rung } => {
+            Order::Setup { setup, http, address, rung, decided } => {
                 let url = http.and_then(|http| self.master_url(http, rung));
                 match (http, url) {
                     (Some(http), Some(url)) => {
                         let send = |begins| fetch::send(shared, (http, address), url, begins);
-                        self.attempt = Some(Attempt::start(self.sess, setup, send));
+                        self.attempt = Some(Attempt::start(self.sess, setup, decided, send));
                     }
                     _ => {
                         let input = Input::Ended { sess: self.sess, setup, how: Ending::Unsent, load: None };
--- a/crates/director/src/lib.rs
+++ b/crates/director/src/lib.rs
@@ -11,9 +11,8 @@
 mod probe;
 mod serve;
 mod session;
-mod talk;
 mod viewer;
 
 pub use ashglade_clock::Clock;
 pub use lists::Files;
-pub use serve::{Options, Trouble, door_view, load, replay_start, serve};
+pub use serve::{Options, Trouble, door_view, load, replay_start, serve, shared_view};
--- a/crates/director/src/serve.rs
+++ b/crates/director/src/serve.rs
@@ -20,7 +20,7 @@
 use siphasher::sip::SipHasher13;
 use tokio::net::{TcpListener, UdpSocket};
 use tokio::signal::unix::{SignalKind, signal};
-use tokio::sync::{Semaphore, watch};
+use tokio::sync::{Semaphore, mpsc, watch};
 use tracing::{info, warn};
 
 use crate::core::{self, Book, Core};
@@ -110,6 +110,8 @@
     pub settings: PathBuf,
     /// Where each round is written, if anywhere.
     pub record: Option<PathBuf>,
+    /// Broken on purpose by the lab, to see that its judge finds out. No command in service sets it.
+    pub defect: Option<ashglade_talk::Defect>,
 }
 
 /// A file that settings name, from the folder of the settings.
@@ -142,6 +144,12 @@
     Some(beside(path, view))
 }
 
+/// Where a director with these settings writes what it believes of others and of nodes.
+pub fn shared_view(settings: &Settings, path: &Path) -> Option<PathBuf> {
+    let view = settings.talk.as_ref()?.share.as_ref()?.view.as_ref()?;
+    Some(beside(path, view))
+}
+
 /// What the engine is started with, from settings.
 pub fn replay_start(settings: &Settings) -> Start {
     let headend = &settings.headend;
@@ -188,7 +196,7 @@
         Some(talk) => {
             let address = talk.peers[settings.headend.me];
             let socket = UdpSocket::bind(address).await;
-            Some((talk.clone(), socket.map_err(|source| Trouble::Listen { address, source })?))
+            Some(socket.map_err(|source| Trouble::Listen { address, source })?)
         }
         None => None,
     };
@@ -215,14 +223,25 @@
     let (drained, mut is_drained) = watch::channel(false);
     shared.core.tell(Input::List(list.clone())).await;
     let book = book(&settings, &options.settings, clock.now())?;
-    tokio::spawn(core::run(shared.clone(), replay_start(&settings), commands, record, book, drained));
+    let (seen, outcomes) = mpsc::channel(core::INPUTS);
+    let talk = talk.and_then(|socket| {
+        let view = shared_view(&settings, &options.settings);
+        ashglade_talk::Started::new(&settings, socket, clock, outcomes, view).map(|mut started| {
+            started.terms.defect = options.defect;
+            started
+        })
+    });
+    // Only what is shared by settings is told of.
+    let seen = settings.talk.as_ref().and_then(|talk| talk.share.as_ref()).map(|_| seen);
+    let start = replay_start(&settings);
+    tokio::spawn(core::run(shared.clone(), start, commands, record, book, drained, seen));
     tokio::spawn(lists::follow(shared.clone(), files, watch));
     if let Some((hls, listener)) = second {
         info!(address = %hls.listen, "serving HLS");
         tokio::spawn(crate::hls::run(shared.clone(), listener, hls));
     }
-    if let Some((talk, socket)) = talk {
-        tokio::spawn(crate::talk::run(shared.clone(), socket, talk));
+    if let Some(talk) = talk {
+        tokio::spawn(ashglade_talk::run(talk, shared.core.clone()));
     }
     info!(%address, director = settings.headend.me, nodes = list.entries.len(), "serving");
 
--- a/crates/director/src/viewer.rs
+++ b/crates/director/src/viewer.rs
@@ -239,14 +239,14 @@
         let Some(live) = &mut self.live else { return Ok(()) };
         let sess = live.sess;
         match order {
-            Order::Setup { setup, address, rung, .. } => {
+            Order::Setup { setup, address, rung, decided, .. } => {
                 (live.rung, live.told) = (rung.0, rung.0);
                 match live.asked.rendition(address, rung.0) {
                     Some(url) => {
                         let track = self.server.track();
                         let wanted = Wanted { node: address, url, track };
                         let send = |begins| attempt::send(shared, wanted, begins);
-                        live.attempt = Some(Attempt::start(sess, setup, send));
+                        live.attempt = Some(Attempt::start(sess, setup, decided, send));
                     }
                     None => {
                         shared.core.tell(Input::Ended { sess, setup, how: Ending::Unsent, load: None }).await;
--- a/crates/director/tests/lists.rs
+++ b/crates/director/tests/lists.rs
@@ -138,7 +138,8 @@
     std::fs::copy(folder.join("boxes.txtpb"), &kept).unwrap();
     let (_, list, _) = load().unwrap();
     assert_eq!(list.entries[0].address, one);
-    let options = ashglade_director::Options { settings: folder.join("second.txtpb"), record: None };
+    let options =
+        ashglade_director::Options { settings: folder.join("second.txtpb"), record: None, defect: None };
     tokio::spawn(async move { ashglade_director::serve(options).await.unwrap() });
     let second = Director { address: spare[0].1.parse().unwrap(), ..director };
     let before = at_one.load(Ordering::SeqCst);
--- a/crates/director/tests/talk.rs
+++ b/crates/director/tests/talk.rs
@@ -10,23 +10,21 @@
 use tokio::io::{AsyncBufReadExt, BufReader};
 use tokio::net::UdpSocket;
 
-/// Turns as a director's record of rounds has them, one line each; waits for the one that is wanted.
-async fn until_turns(record: &std::path::Path, wanted: &str) {
-    let wanted = format!("{{\"Turns\":{{\"ours\":{wanted},\"of\":6}}}}");
-    for _ in 0..600 {
+/// Turns as directors' records of rounds have them; waits until one of them has those that are wanted.
+async fn until_turns(wanted: &[(&std::path::Path, &str)]) {
+    let last = |record: &std::path::Path| {
         let text = std::fs::read_to_string(record).unwrap_or_default();
-        if text
-            .rsplit("{\"Turns\"")
-            .next()
-            .is_some_and(|last| format!("{{\"Turns\"{last}").starts_with(&wanted))
-        {
+        let (_, last) = text.rsplit_once("{\"Turns\":{\"ours\":")?;
+        Some(last.split_once(']')?.0.to_string() + "]")
+    };
+    for _ in 0..600 {
+        if wanted.iter().any(|(record, turns)| last(record).as_deref() == Some(turns)) {
             return;
         }
         tokio::time::sleep(Duration::from_millis(50)).await;
     }
-    let text = std::fs::read_to_string(record).unwrap_or_default();
-    let told: Vec<&str> = text.split("{\"Turns\"").skip(1).map(|t| &t[..t.len().min(60)]).collect();
-    panic!("{wanted} was not told; told were {told:?}");
+    let told: Vec<_> = wanted.iter().map(|(record, _)| last(record)).collect();
+    panic!("{wanted:?} was not told; last were {told:?}");
 }
 
 /// Runs as a director of its own where the test below asks for it.
@@ -36,7 +34,7 @@
     let settings = std::path::PathBuf::from(settings);
     let record = Some(settings.with_extension("rounds"));
     println!("starts");
-    ashglade_director::serve(ashglade_director::Options { settings, record }).await.unwrap();
+    ashglade_director::serve(ashglade_director::Options { settings, record, defect: None }).await.unwrap();
 }
 
 #[tokio::test]
@@ -79,16 +77,17 @@
         held.push(first);
     }
     let record = |number: usize| folder.path().join(format!("d{number}.rounds"));
-    until_turns(&record(0), "[0,3]").await;
-    until_turns(&record(1), "[1,4]").await;
+    let records = [record(0), record(1)];
+    until_turns(&[(&records[0], "[0,3]")]).await;
+    until_turns(&[(&records[1], "[1,4]")]).await;
     // What isn't signed with the secret is nobody's word, whatever it says.
     let stranger = UdpSocket::bind("127.0.0.1:0").await.unwrap();
     for junk in [&b""[..], b"x", &[0u8; 40], br#"0123456789abcdef{"from":2,"to":0,"message":{}}"#] {
         stranger.send_to(junk, peers[0]).await.unwrap();
     }
     directors[2].0.kill().await.unwrap();
-    until_turns(&record(0), "[0,3,5]").await;
+    until_turns(&[(&records[0], "[0,3,5]"), (&records[1], "[1,4,5]")]).await;
     // Without a majority only the first half is left.
     directors[1].0.kill().await.unwrap();
-    until_turns(&record(0), "[0]").await;
+    until_turns(&[(&records[0], "[0]")]).await;
 }
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -15,7 +15,7 @@
 use crate::notes::Notes;
 use crate::setups::{self, Withdrawn};
 use crate::timers::{Timer, Timers};
-use crate::words::{self, Answer, Effect, Input, Load, Told, Want, Why};
+use crate::words::{self, Answer, Effect, Input, Lapse, Load, Told, Want, Why};
 
 /// What an engine is started with.
 #[derive(Clone, Debug)]
@@ -53,6 +53,19 @@
     door_due: Option<Instant>,
     draining: bool,
     drained: bool,
+    turns: Vec<usize>,
+    turns_of: usize,
+    turns_lapse: Option<Lapse>,
+    repeats_span: Span,
+    repeats_lapse: Option<Lapse>,
+    seen: Vec<Seen>,
+}
+
+/// What came of a SETUP at a node: it started, or how it ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Seen {
+    pub node: Node,
+    pub ended: Option<Ending>,
 }
 
 /// One piece of news for the module, in its words.
@@ -62,6 +75,8 @@
     UnderWay(Sess, Viewing, Node),
     WentOn(Node),
     Turns(Vec<usize>, usize),
+    Repeats(usize, Span),
+    Doubted(Vec<Node>),
     Asked(Sess, Viewing),
     Left(Sess),
     Started(Sess, SetupNo, Node),
@@ -92,9 +107,20 @@
             door_due: None,
             draining: false,
             drained: false,
+            turns: Vec::new(),
+            turns_of: 0,
+            turns_lapse: None,
+            repeats_span: Span::ZERO,
+            repeats_lapse: None,
+            seen: Vec::new(),
         }
     }
 
+    /// What came of SETUPs in the last round, for the other directors.
+    pub fn seen(&self) -> &[Seen] {
+        &self.seen
+    }
+
     /// When the next round is due if nothing comes in before.
     pub fn next_due(&self) -> Option<Instant> {
         self.timers.next()
@@ -116,9 +142,11 @@
     pub fn round(&mut self, now: Instant, inputs: Vec<Input>) -> Vec<Effect> {
         let mut effects = Vec::new();
         let mut news = Vec::new();
+        self.seen.clear();
         for input in inputs {
             self.take(now, input, &mut news, &mut effects);
         }
+        self.lapse(now, &mut news);
         // Answers that are late only because we stood still have been taken; now what they left undone is due.
         while let Some(timer) = self.timers.pop(now) {
             self.due(now, timer, &mut news, &mut effects);
@@ -144,6 +172,17 @@
         effects
     }
 
+    /// Rights whose lease is over are not used in this round, whoever has or hasn't said so.
+    fn lapse(&mut self, now: Instant, news: &mut Vec<News>) {
+        if let Some(lapse) = self.turns_lapse.take_if(|lapse| lapse.at <= now) {
+            self.turns.truncate(lapse.kept);
+            news.push(News::Turns(self.turns.clone(), self.turns_of));
+        }
+        if let Some(lapse) = self.repeats_lapse.take_if(|lapse| lapse.at <= now) {
+            news.push(News::Repeats(lapse.kept, self.repeats_span));
+        }
+    }
+
     /// What the door says: some go in to the module, some are sent away.
     fn let_in(&mut self, now: Instant, news: &mut Vec<News>, effects: &mut Vec<Effect>) {
         let Some(door) = &mut self.door else { return };
@@ -278,7 +317,15 @@
                     news.push(News::Probed(node, load.is_some()));
                 }
             }
-            Input::Turns { ours, of } => news.push(News::Turns(ours, of)),
+            Input::Turns { ours, of, lapse } => {
+                (self.turns, self.turns_of, self.turns_lapse) = (ours.clone(), of, lapse);
+                news.push(News::Turns(ours, of));
+            }
+            Input::Repeats { most, span, lapse } => {
+                (self.repeats_span, self.repeats_lapse) = (span, lapse);
+                news.push(News::Repeats(most, span));
+            }
+            Input::Doubted { nodes } => news.push(News::Doubted(nodes)),
             Input::Drain => self.draining = true,
         }
     }
@@ -439,6 +486,7 @@
                 self.missing.forget(node, hand.title);
                 (hand.out, hand.plays_at) = (None, Some(node));
                 self.hands.tally.started += 1;
+                self.seen.push(Seen { node, ended: None });
                 news.push(News::Started(sess, setup, node));
                 let answer = Answer::Plays { rung };
                 if self.hands.answer(sess, &answer) {
@@ -472,6 +520,7 @@
             Ending::Cancelled | Ending::Played => 6,
         };
         self.hands.tally.endings[kind] += 1;
+        self.seen.push(Seen { node, ended: Some(how) });
         news.push(News::Ended(sess, setup, node, how, over));
     }
 
@@ -553,6 +602,8 @@
 fn tell(round: &mut Round, roster: &Roster, news: &News) {
     match *news {
         News::Turns(ref ours, of) => round.turns(ours, of),
+        News::Repeats(most, span) => round.repeats(most, span),
+        News::Doubted(ref nodes) => round.doubted(nodes),
         News::List => {
             round.list_whole();
             for (&node, entry) in roster.nodes() {
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -23,8 +23,8 @@
 
 pub use answers::Tally;
 pub use ashglade_door::{Terms as DoorTerms, Turned, View as DoorView};
-pub use engine::{Engine, Start};
-pub use words::{Answer, Effect, Input, Load, Standing, Told, Want, Why};
+pub use engine::{Engine, Seen, Start};
+pub use words::{Answer, Effect, Input, Lapse, Load, Standing, Told, Want, Why};
 
 #[cfg(test)]
 mod tests;
--- a/crates/engine/src/tests.rs
+++ b/crates/engine/src/tests.rs
@@ -540,3 +540,26 @@
         in hand 2
     "#]]);
 }
+
+/// Rights that were lent are used no longer once their lease is over, also in the very round in which a director goes on
+/// that stood still, and whatever waited for it then.
+#[test]
+fn a_lease_that_ran_out_while_the_director_stood_still_is_not_used() {
+    let traces = [2000.0, 9000.0].map(|goes_on| {
+        let mut desk = Desk::open(Care::Safe);
+        let lapse = Some(Lapse { at: Instant::from_ms(5000.0), kept: 0 });
+        desk.at(1000.0, vec![Input::Repeats { most: 1, span: Span::from_secs(2.0), lapse }]);
+        desk.at(goes_on, vec![Input::Asked { sess: S, want: want() }]);
+        desk.at(goes_on + 1.0, vec![written(0), ended(0, Ending::Full)]);
+        format!("goes on at {goes_on}\n{}", desk.trace)
+    });
+    expect![[r#"
+        goes on at 2000
+        2000 ms: setup 1.0 at n1 rung 1 until 2500
+        2001 ms: setup 1.1 at n3 rung 1 until 2500.5
+        goes on at 9000
+        9000 ms: setup 1.0 at n1 rung 1 until 9500
+        9001 ms: 1 busy, again after Some(1000.0)
+    "#]]
+    .assert_eq(&traces.concat());
+}
--- a/crates/engine/src/words.rs
+++ b/crates/engine/src/words.rs
@@ -134,11 +134,32 @@
     Turns {
         ours: Vec<usize>,
         of: usize,
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        lapse: Option<Lapse>,
+    },
+    /// So many further SETUPs may go to one node within the span: this director's part of the fleet's bound.
+    Repeats {
+        most: usize,
+        span: Span,
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        lapse: Option<Lapse>,
+    },
+    /// Nodes that are tried last, by what other directors found.
+    Doubted {
+        nodes: Vec<Node>,
     },
     /// Takes nothing new from here on.
     Drain,
 }
 
+/// When a lease of what is shared is over, and how many of it are left then. A director that stood still must not go on
+/// by what it held before.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Lapse {
+    pub at: Instant,
+    pub kept: usize,
+}
+
 /// Why a request is busy-replied.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Why {
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -116,7 +116,9 @@
             let _ = nix::sys::prctl::set_pdeathsig(nix::sys::signal::Signal::SIGKILL);
             tracing_subscriber::fmt().with_ansi(false).with_writer(std::io::stderr).init();
             run(async {
-                ashglade_director::serve(Options { settings, record }).await.map_err(|e| e.to_string())
+                ashglade_director::serve(Options { settings, record, defect: None })
+                    .await
+                    .map_err(|e| e.to_string())
             })
             .map(|()| true)
         }
--- a/crates/settings/src/headend.rs
+++ b/crates/settings/src/headend.rs
@@ -57,6 +57,29 @@
     pub secret: String,
     pub lease: Duration,
     pub drift: f64,
+    /// By number, their zones; all alike where none are named.
+    pub zones: Vec<u8>,
+    pub council: usize,
+    pub share: Option<Share>,
+}
+
+/// What directors share besides turns at cold nodes.
+#[derive(Clone, Debug)]
+pub struct Share {
+    pub fade: Duration,
+    pub gossip: Duration,
+    pub bytes_per_s: f64,
+    pub repeats: Option<Repeats>,
+    /// Path of the view, as written.
+    pub view: Option<String>,
+}
+
+/// A bound over all directors on further SETUPs at one node within a span.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Repeats {
+    pub at_node: usize,
+    pub kept: usize,
+    pub span: Span,
 }
 
 impl std::fmt::Debug for Talk {
@@ -304,7 +327,7 @@
         None => None,
     };
     let talk = match &read.talk {
-        Some(talk) => Some(self::talk(&at, talk, directors as usize)?),
+        Some(talk) => Some(self::talk(&at, talk, directors as usize, &zones)?),
         None => None,
     };
     let most = limits.most_sessions.map(f64::from);
@@ -367,7 +390,7 @@
     Ok((group, Span::from_ms(timeout)))
 }
 
-fn talk(at: &Source, t: &schema::Talk, directors: usize) -> Result<Talk, Trouble> {
+fn talk(at: &Source, t: &schema::Talk, directors: usize, names: &[String]) -> Result<Talk, Trouble> {
     let mut peers = Vec::new();
     for (i, peer) in t.peer.iter().enumerate() {
         let field = format!("talk.peer[{i}]");
@@ -390,7 +413,50 @@
     }
     let lease = at.within("talk.lease_ms", t.lease_ms.map(f64::from), 500.0, DAY)?;
     let drift = at.within("talk.drift", Some(t.drift.unwrap_or(0.01)), 0.0, 0.5)?;
-    Ok(Talk { peers, secret, lease: Duration::from_secs_f64(lease / 1e3), drift })
+    let of_zone = |(i, zone): (usize, &String)| {
+        at.one_of(&format!("talk.peer_zone[{i}]"), zone, names).map(|zone| zone as u8)
+    };
+    let mut zones: Vec<u8> = t.peer_zone.iter().enumerate().map(of_zone).collect::<Result<_, _>>()?;
+    if zones.is_empty() {
+        zones = vec![0; directors];
+    }
+    if zones.len() != directors {
+        return Err(at.trouble("talk.peer_zone", format!("names {} of {directors} directors", zones.len())));
+    }
+    let council = at.within("talk.council", Some(f64::from(t.council.unwrap_or(9))), 1.0, 99.0)?;
+    let share = t.share.as_ref().map(|share| self::share(at, share, directors)).transpose()?;
+    let lease = Duration::from_secs_f64(lease / 1e3);
+    Ok(Talk { peers, secret, lease, drift, zones, council: council as usize, share })
+}
+
+fn share(at: &Source, s: &schema::Share, directors: usize) -> Result<Share, Trouble> {
+    let ms = |field: &str, value: Option<u32>, usual: f64, from: f64, to: f64| {
+        let value = value.map_or(usual, f64::from);
+        at.within(field, Some(value), from, to).map(|ms| Duration::from_secs_f64(ms / 1e3))
+    };
+    let repeats = match &s.repeats {
+        Some(repeats) => {
+            let most = repeats.at_node.map(f64::from);
+            let at_node = at.within("talk.share.repeats.at_node", most, 1.0, 10_000.0)? as usize;
+            let span = at.within("talk.share.repeats.span_ms", repeats.span_ms.map(f64::from), 100.0, DAY)?;
+            let kept = repeats.kept.unwrap_or(0) as usize;
+            if kept.saturating_mul(directors) > at_node {
+                let what =
+                    format!("{kept} for each of {directors} directors is more than at_node, {at_node}");
+                return Err(at.trouble("talk.share.repeats.kept", what));
+            }
+            Some(Repeats { at_node, kept, span: Span::from_ms(span) })
+        }
+        None => None,
+    };
+    let bytes = Some(s.bytes_per_s.unwrap_or(65_536.0));
+    Ok(Share {
+        fade: ms("talk.share.fade_ms", s.fade_ms, 10_000.0, 1000.0, 600_000.0)?,
+        gossip: ms("talk.share.gossip_ms", s.gossip_ms, 200.0, 20.0, 60_000.0)?,
+        bytes_per_s: at.within("talk.share.bytes_per_s", bytes, 4096.0, 1e9)?,
+        repeats,
+        view: s.view.clone(),
+    })
 }
 
 fn hls(at: &Source, h: &schema::Hls) -> Result<Hls, Trouble> {
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -6,7 +6,7 @@
 pub mod text;
 
 pub use boxes::{Names, boxes, watched_boxes, write_boxes};
-pub use headend::{Door, Front, Hls, Settings, Talk, Title, settings};
+pub use headend::{Door, Front, Hls, Repeats, Settings, Share, Talk, Title, settings};
 pub use text::Trouble;
 
 /// The schemas as generated types.
--- a/crates/settings/src/tests.rs
+++ b/crates/settings/src/tests.rs
@@ -190,6 +190,45 @@
     .assert_eq(&told);
 }
 
+#[test]
+fn what_directors_share_is_checked_by_line_and_field() {
+    let talk = "talk { peer: \"127.0.0.1:1\" peer: \"127.0.0.1:2\" secret: \"0123456789abcdef\" lease_ms: 3000\n\
+                peer_zone: \"a\" peer_zone: \"b\"\n\
+                share { repeats { at_node: 10 span_ms: 2000 kept: 1 } } }\n";
+    let good = GOOD.replace("front {", &format!("{talk}front {{"));
+    let read = settings("h.txtpb", &good)
+        .map(|read| read.talk.and_then(|talk| Some((talk.zones, talk.council, talk.share?))));
+    let mut told = format!("{read:?}\n");
+    for (from, to) in [
+        ("peer_zone: \"b\"", ""),
+        ("peer_zone: \"b\"", "peer_zone: \"x\""),
+        ("lease_ms: 3000", "lease_ms: 3000 council: 0"),
+        ("share {", "share { fade_ms: 10"),
+        ("share {", "share { gossip_ms: 1"),
+        ("share {", "share { bytes_per_s: 10"),
+        ("at_node: 10", "at_node: 0"),
+        ("at_node: 10 span_ms: 2000", "at_node: 10 span_ms: 1"),
+        ("kept: 1", "kept: 6"),
+        ("kept: 1", "kept: one"),
+    ] {
+        told += &settings("h.txtpb", &good.replacen(from, to, 1))
+            .map_or_else(|e| format!("{e}\n"), |_| "taken\n".into());
+    }
+    expect![[r#"
+        Ok(Some(([0, 1], 9, Share { fade: 10s, gossip: 200ms, bytes_per_s: 65536.0, repeats: Some(Repeats { at_node: 10, kept: 1, span: Span(2000000) }), view: None })))
+        h.txtpb:17: talk.peer_zone: names 1 of 2 directors
+        h.txtpb:17: talk.peer_zone[1]: names "x"; there is a, b
+        h.txtpb:16: talk.council: is 0; 1 to 99 is wanted
+        h.txtpb:18: talk.share.fade_ms: is 10; 1000 to 600000 is wanted
+        h.txtpb:18: talk.share.gossip_ms: is 1; 20 to 60000 is wanted
+        h.txtpb:18: talk.share.bytes_per_s: is 10; 4096 to 1000000000 is wanted
+        h.txtpb:18: talk.share.repeats.at_node: is 0; 1 to 10000 is wanted
+        h.txtpb:18: talk.share.repeats.span_ms: is 1; 100 to 86400000 is wanted
+        h.txtpb:18: talk.share.repeats.kept: 6 for each of 2 directors is more than at_node, 10
+        h.txtpb:18: expected an integer, but found 'one'
+    "#]].assert_eq(&told);
+}
+
 #[test]
 fn a_box_list_reads_back_as_written_and_errors_name_the_field() {
     let names = settings("h.txtpb", GOOD).unwrap().names;
--- a/crates/shared/src/lib.rs
+++ b/crates/shared/src/lib.rs
@@ -11,6 +11,7 @@
 
 use std::hash::Hasher;
 
+use ashglade::interface::Ending;
 use ashglade::time::Span;
 use siphasher::sip::SipHasher13;
 
@@ -53,6 +54,8 @@
     pub kept: usize,
     /// Rights of the whole fleet that go where they are needed; right `j` has director `j` modulo their number for its home.
     pub lent: usize,
+    /// Each needs all it can have, always; if not, as many as its SETUPs failed within a lease.
+    pub always: bool,
 }
 
 /// What is left out of the argument for safety.
@@ -104,6 +107,16 @@
     }
 }
 
+/// What the end of an own SETUP says of its node, if anything. A node that turns a set-up away does its work.
+pub fn verdict(ended: Option<Ending>) -> Option<Verdict> {
+    match ended {
+        None | Some(Ending::Full) => Some(Verdict::Well),
+        Some(Ending::Silent) => Some(Verdict::Silent),
+        Some(Ending::Unreachable | Ending::Fault | Ending::Lost) => Some(Verdict::Failing),
+        Some(Ending::Unsent | Ending::Cancelled | Ending::Played) => None,
+    }
+}
+
 /// An even draw that is the same wherever it is made.
 fn draw(parts: &[u64]) -> u64 {
     let mut hasher = SipHasher13::new();
--- a/crates/shared/src/member.rs
+++ b/crates/shared/src/member.rs
@@ -1,6 +1,6 @@
 //! One director's part: rights and judgements together, in words that are sent from one to one.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 use ashglade::time::{Instant, Span};
 use serde::{Deserialize, Serialize};
@@ -56,13 +56,13 @@
     known: Judgements,
     spread: Spread,
     heard: BTreeMap<usize, Instant>,
-    /// Needs are told as they come; each is kept to for a lease, so that rights don't go to and fro.
-    needs: Vec<BTreeMap<Instant, usize>>,
+    /// When own SETUPs failed, within a lease: each may want a further one.
+    failures: VecDeque<Instant>,
     pub counters: Counters,
 }
 
-/// Words are forgotten, and needs looked through, once in so long.
-const REMEMBERED_NEEDS: usize = 64;
+/// Failures that are remembered at most: no more rights than these are needed.
+const MOST_FAILURES: usize = 1024;
 
 impl Member {
     /// `process` is above that of the process before.
@@ -74,26 +74,17 @@
             known: Judgements::new(terms.me, terms.fade, first),
             spread: Spread::new(terms.me, terms.directors(), terms.gossip, terms.seed ^ process, now),
             heard: BTreeMap::new(),
-            needs: vec![BTreeMap::new(); terms.pools.len()],
+            failures: VecDeque::new(),
             counters: Counters::default(),
             terms,
         }
     }
 
-    /// So many rights of a pool are needed now, over those that are kept; the most of a lease counts.
-    pub fn need(&mut self, pool: usize, count: usize, now: Instant) {
-        let lease = self.terms.lease;
-        let Some(needs) = self.needs.get_mut(pool) else { return };
-        needs.retain(|&at, &mut before| now - at < lease && before > count);
-        needs.insert(now, count);
-        while needs.len() > REMEMBERED_NEEDS {
-            needs.pop_first();
-        }
-        self.rights.need(pool, needs.values().copied().max().unwrap_or(0));
-    }
-
     /// An own SETUP ended at this node.
     pub fn saw(&mut self, node: u64, verdict: Verdict, now: Instant) {
+        if verdict != Verdict::Well && self.failures.len() < MOST_FAILURES {
+            self.failures.push_back(now);
+        }
         if let Some(word) = self.known.saw(node, verdict, now) {
             self.spread.news(&word);
         }
@@ -105,6 +96,12 @@
 
     pub fn tick(&mut self, now: Instant) -> Vec<Word> {
         self.known.forget(now);
+        while self.failures.front().is_some_and(|&at| now - at >= self.terms.lease) {
+            self.failures.pop_front();
+        }
+        for (pool, terms) in self.terms.pools.iter().enumerate() {
+            self.rights.need(pool, if terms.always { usize::MAX } else { self.failures.len() });
+        }
         let rights = self.rights.tick(now).into_iter().map(|(to, message)| (to, Body::Rights(message)));
         let spread =
             self.spread.tick(&self.known, now).into_iter().map(|(to, message)| (to, Body::Spread(message)));
--- a/crates/shared/src/rights.rs
+++ b/crates/shared/src/rights.rs
@@ -89,6 +89,8 @@
     given: BTreeMap<Right, Given>,
     /// By home: when it last asked, by which number, and for what of its own.
     homes: BTreeMap<usize, (Instant, u64, BTreeSet<Right>)>,
+    /// By home: who looked for more there, and when.
+    lookers: BTreeMap<usize, BTreeMap<usize, Instant>>,
     wanted: BTreeMap<Right, Wanted>,
     /// Grants for asks up to this number count no longer.
     void: BTreeMap<Right, u64>,
@@ -123,6 +125,7 @@
             votes_from: now + guard(&terms),
             given: BTreeMap::new(),
             homes: BTreeMap::new(),
+            lookers: BTreeMap::new(),
             wanted: BTreeMap::new(),
             void: BTreeMap::new(),
             backs: Vec::new(),
@@ -346,6 +349,13 @@
             let own = rights.iter().filter(|right| self.home(right) == to).copied().collect();
             self.homes.insert(to, (now, number, own));
         }
+        for &home in look.iter().take(LOOKS) {
+            if usize::from(home) < self.terms.directors() {
+                let lookers = self.lookers.entry(usize::from(home)).or_default();
+                lookers.insert(to, now);
+                lookers.retain(|_, &mut at| now - at < self.terms.lease);
+            }
+        }
         let mut granted = Vec::new();
         for right in rights.iter().take(MOST_RIGHTS) {
             if self.may_grant(right, to, process, now) && !granted.contains(right) {
@@ -378,9 +388,18 @@
         let wants = asked.is_some_and(|(at, _, own)| now - *at < self.terms.lease && own.contains(right));
         let ours = |g: &Given| (g.to, g.process) == (to, process);
         let given = self.given.get(right);
-        self.councils[home].contains(&self.terms.me)
-            && (home == to || !wants)
-            && given.is_none_or(|g| ours(g) || g.until <= now)
+        let free = given.is_none_or(|g| ours(g) || g.until <= now);
+        let first = home == to || given.is_some_and(ours) || self.prefers(right, home, to, now);
+        self.councils[home].contains(&self.terms.me) && (home == to || !wants) && free && first
+    }
+
+    /// Of several that look for more at this home one comes first, the same at all voters: votes that are split among
+    /// them would serve nobody.
+    fn prefers(&self, right: &Right, home: usize, to: usize, now: Instant) -> bool {
+        let rank = |director: usize| draw(&[u64::from(right.pool), u64::from(right.number), director as u64]);
+        let lookers = self.lookers.get(&home);
+        let recent = |&(_, at): &(&usize, &Instant)| now - *at < self.terms.lease * (1.0 - 1.0 / RENEWALS);
+        lookers.is_none_or(|all| all.iter().filter(recent).all(|(&other, _)| rank(other) <= rank(to)))
     }
 
     /// They are in use no longer; after a rest they may be granted anew.
--- a/crates/shared/tests/world/mod.rs
+++ b/crates/shared/tests/world/mod.rs
@@ -20,7 +20,7 @@
         lease: ms(LEASE),
         drift: DRIFT,
         rest: ms(REST),
-        pools: vec![Pool { kept: 1, lent: directors }],
+        pools: vec![Pool { kept: 1, lent: directors, always: false }],
         fade: ms(10_000.0),
         gossip: ms(200.0),
         seed: 7,
--- /dev/null
+++ b/crates/talk/src/run.rs
@@ -0,0 +1,269 @@
+//! The task that talks: a socket, a clock and the state.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+
+use ashglade::ids::Node;
+use ashglade::time::{Instant, Span};
+use ashglade_clock::Clock;
+use ashglade_engine::{Input, Lapse, Seen as Outcome};
+use ashglade_settings::Settings;
+use ashglade_shared::rights::Held;
+use ashglade_shared::{Member, Pool, Terms, Word, verdict};
+use tokio::net::UdpSocket;
+use tokio::sync::mpsc;
+use tracing::{debug, info};
+
+use crate::codec::{Codec, Datagram, MOST, Passed};
+use crate::guard::Guard;
+use crate::terms::{EARLY, LOOK, REPEATS, TURNS};
+use crate::view::{Seen, View};
+
+/// The engine, as far as it is told what is shared.
+pub trait Engine: Send + Sync + 'static {
+    fn tell(&self, input: Input) -> impl Future<Output = ()> + Send;
+}
+
+/// What the task is started with.
+pub struct Started {
+    pub socket: UdpSocket,
+    pub terms: Terms,
+    /// By director, our own among them.
+    pub peers: Vec<SocketAddr>,
+    pub codec: Codec,
+    pub clock: Clock,
+    /// What came of our SETUPs.
+    pub seen: mpsc::Receiver<Outcome>,
+    /// Bytes a second that are said at most.
+    pub most_bytes: f64,
+    /// The span in which a node's further SETUPs are counted.
+    pub repeats_span: Option<Span>,
+    /// Where the view is written once a second.
+    pub view: Option<PathBuf>,
+}
+
+impl Started {
+    /// As settings have it; none where they name no others or the secret can't be used.
+    pub fn new(
+        settings: &Settings,
+        socket: UdpSocket,
+        clock: Clock,
+        seen: mpsc::Receiver<Outcome>,
+        view: Option<PathBuf>,
+    ) -> Option<Started> {
+        let terms = crate::terms(settings)?;
+        let talk = settings.talk.as_ref()?;
+        let share = talk.share.as_ref();
+        Some(Started {
+            socket,
+            terms,
+            peers: talk.peers.clone(),
+            codec: Codec::new(&talk.secret)?,
+            clock,
+            seen,
+            most_bytes: share.map_or(f64::INFINITY, |share| share.bytes_per_s),
+            repeats_span: share.and_then(|share| share.repeats.as_ref()).map(|repeats| repeats.span),
+            view,
+        })
+    }
+}
+
+struct Talk<E> {
+    engine: E,
+    with: Started,
+    member: Member,
+    guard: Guard,
+    process: u64,
+    number: u64,
+    /// Bytes that may be said now.
+    room: f64,
+    filled: Instant,
+    shown: Instant,
+    view: View,
+    /// What the engine was last told.
+    turns: (Vec<usize>, Option<Lapse>),
+    repeats: Option<(usize, Option<Lapse>)>,
+    last: Vec<Node>,
+}
+
+/// Talks for as long as the director runs, and tells the engine what of it concerns decisions.
+pub async fn run<E: Engine>(with: Started, engine: E) {
+    let now = with.clock.now();
+    // Above that of the process before, as long as the machine's clock is not set back.
+    let process = now.as_ms().max(1.0) as u64;
+    let (directors, me) = (with.terms.directors(), with.terms.me);
+    let mut talk = Talk {
+        engine,
+        member: Member::start(with.terms.clone(), process, now),
+        guard: Guard::new(directors, with.terms.lease),
+        process,
+        number: 0,
+        room: 0.0,
+        filled: now,
+        shown: now,
+        view: View { director: me, directors, heard: vec![me], ..View::default() },
+        turns: (Vec::new(), None),
+        repeats: None,
+        last: Vec::new(),
+        with,
+    };
+    let mut bytes = vec![0; MOST + 1];
+    let mut tick = tokio::time::interval(LOOK);
+    tick.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    loop {
+        let out = tokio::select! {
+            _ = tick.tick() => talk.member.tick(talk.with.clock.now()),
+            received = talk.with.socket.recv_from(&mut bytes) => match received {
+                Ok((size, from)) => talk.heard(&bytes[..size], from),
+                // As when a peer's port is closed: it is not there.
+                Err(_) => Vec::new(),
+            },
+            Some(outcome) = talk.with.seen.recv() => {
+                if let Some(verdict) = verdict(outcome.ended) {
+                    talk.member.saw(outcome.node.0, verdict, talk.with.clock.now());
+                }
+                Vec::new()
+            }
+        };
+        // What is given back or has run out is not used any longer before anything is said of it.
+        talk.tell().await;
+        talk.say(out);
+        talk.show();
+    }
+}
+
+impl<E: Engine> Talk<E> {
+    fn heard(&mut self, bytes: &[u8], from: SocketAddr) -> Vec<Word> {
+        let now = self.with.clock.now();
+        let taken = self.with.codec.read(bytes).and_then(|datagram| {
+            let sender = usize::from(datagram.word.from);
+            if self.with.peers.get(sender) != Some(&from)
+                || usize::from(datagram.word.to) != self.with.terms.me
+            {
+                return Err(Passed::Stranger);
+            }
+            if !self.guard.is_new(sender, datagram.process, datagram.number, now) {
+                return Err(Passed::Replayed);
+            }
+            Ok(datagram)
+        });
+        match taken {
+            Ok(datagram) => {
+                self.view.taken = (self.view.taken.0 + 1, self.view.taken.1 + bytes.len() as u64);
+                let before = self.member.counters.other_terms;
+                let out = self.member.take(&datagram.word, now);
+                if self.member.counters.other_terms != before {
+                    *self.view.passed.entry("set up otherwise".into()).or_default() += 1;
+                }
+                out
+            }
+            Err(why) => {
+                debug!(%from, ?why, "a datagram is passed over");
+                *self.view.passed.entry(format!("{why:?}")).or_default() += 1;
+                Vec::new()
+            }
+        }
+    }
+
+    fn say(&mut self, out: Vec<Word>) {
+        let now = self.with.clock.now();
+        let most = self.with.most_bytes;
+        if most.is_finite() {
+            self.room = (self.room + most * ((now - self.filled).as_ms() / 1e3)).min(most);
+            self.filled = now;
+        }
+        for word in out {
+            let Some(peer) = self.with.peers.get(usize::from(word.to)) else { continue };
+            self.number += 1;
+            let datagram = Datagram { process: self.process, number: self.number, word };
+            let Some(bytes) = self.with.codec.write(&datagram) else { continue };
+            let size = bytes.len() as f64;
+            if most.is_finite() && self.room < size {
+                self.view.held_back += 1;
+                continue;
+            }
+            self.room -= if most.is_finite() { size } else { 0.0 };
+            // One that is not sent is one that was lost.
+            if self.with.socket.try_send_to(&bytes, *peer).is_ok() {
+                self.view.said = (self.view.said.0 + 1, self.view.said.1 + bytes.len() as u64);
+            }
+        }
+    }
+
+    /// Tells the engine what changed of what is held and believed.
+    async fn tell(&mut self) {
+        let now = self.with.clock.now();
+        let early = Span::from_secs(EARLY);
+        let view = self.member.view(now, early);
+        let directors = self.with.terms.directors();
+        let pool =
+            |pool: usize| (view.held.get(pool).cloned().unwrap_or_default(), self.with.terms.pools.get(pool));
+        let (held, terms) = pool(TURNS);
+        let lapse = lapse(&held, terms, early);
+        if news(&self.turns.0, &self.turns.1, &held.rights, &lapse) {
+            self.turns = (held.rights.clone(), lapse);
+            self.engine.tell(Input::Turns { ours: held.rights, of: directors * 2, lapse }).await;
+        }
+        let (held, terms) = pool(REPEATS);
+        if let (Some(pool), Some(span)) = (terms, self.with.repeats_span) {
+            let (most, lapse) = (held.rights.len(), self::lapse(&held, Some(pool), early));
+            let told = self.repeats.as_ref();
+            if told.is_none_or(|(before, until)| news(&[*before], until, &[most], &lapse)) {
+                self.repeats = Some((most, lapse));
+                self.engine.tell(Input::Repeats { most, span, lapse }).await;
+            }
+            self.view.repeats = Some((most, pool.kept * directors + pool.lent));
+        }
+        let last: Vec<Node> = view.left.keys().map(|&node| Node(node)).collect();
+        if last != self.last {
+            info!(nodes = ?view.left, "nodes that are tried last, by who finds them failing");
+            self.last = last.clone();
+            self.engine.tell(Input::Doubted { nodes: last }).await;
+        }
+        let heard: Vec<usize> = view.heard.into_iter().collect();
+        if heard != self.view.heard {
+            info!(directors = ?heard, "directors that are heard of");
+            self.view.heard = heard;
+        }
+        self.view.last = view.left.into_iter().map(|(node, by)| (format!("{node:016x}"), by)).collect();
+        self.view.turns.clone_from(&self.turns.0);
+    }
+
+    /// Writes the view, once a second, where one is wanted.
+    fn show(&mut self) {
+        let now = self.with.clock.now();
+        let Some(path) = self.with.view.as_ref().filter(|_| now - self.shown >= Span::from_secs(1.0)) else {
+            return;
+        };
+        self.shown = now;
+        let seen = |word: ashglade_shared::Judgement| Seen {
+            node: word.node,
+            by: word.source,
+            verdict: format!("{:?}", word.verdict),
+            setups: word.setups,
+            age_ms: word.age_ms,
+        };
+        self.view.words = self.member.words(now).map(seen).collect();
+        let text = serde_json::to_string(&self.view).unwrap_or_default();
+        // Replaced whole: no reader sees half of it.
+        let beside = path.with_extension("new");
+        let written = std::fs::write(&beside, text).and_then(|()| std::fs::rename(&beside, path));
+        if let Err(error) = written {
+            debug!(path = %path.display(), %error, "the view of what is shared can't be written");
+        }
+    }
+}
+
+/// When what is lent runs out, if anything is, and what is kept then.
+fn lapse(held: &Held, pool: Option<&Pool>, early: Span) -> Option<Lapse> {
+    Some(Lapse { at: held.until? - early, kept: pool?.kept })
+}
+
+/// The engine is told anew when rights change, and when a lease was renewed for a good while.
+fn news(before: &[usize], until: &Option<Lapse>, now: &[usize], new: &Option<Lapse>) -> bool {
+    let later = match (until, new) {
+        (Some(before), Some(new)) => new.at - before.at > Span::from_ms(LOOK.as_secs_f64() * 1e3),
+        (before, new) => before.is_some() != new.is_some(),
+    };
+    before != now || later
+}
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -62,6 +62,8 @@
 const PULSE_PART: f64 = 0.5;
 /// A list that can't be followed is asked for again after this part of the time allowed.
 const ASK_PART: f64 = 0.25;
+/// What others found failing stands behind all others of the list, whatever their scores.
+const LAST: f64 = 100.0;
 /// The part of all utility that probes may cost, where nothing else tells the load and where answers do too,
 /// and the most nodes that are probed for one session.
 const PROBE_SPEND: f64 = 0.03;
@@ -351,13 +353,19 @@
             },
             _ => true,
         };
-        let may =
-            |&i: &usize| f.ready[i] && holds(i) && within(i) && !s.tried.contains(&i) && self.cold_permits(i);
+        let (further, now) = (s.setups > 0, self.now);
+        let repeats = |i: usize| {
+            !further || self.plant.repeats.is_none_or(|(most, span)| f.further[i].within(now, span) < most)
+        };
+        let may = |&i: &usize| {
+            f.ready[i] && holds(i) && within(i) && !s.tried.contains(&i) && repeats(i) && self.cold_permits(i)
+        };
         let score = |i: usize| {
             let (link, uplink) = self.free(p, i);
             let spare = (link / f.link[i].max(1.0)).min(uplink / self.plant.uplink.max(1.0)).clamp(0.0, 1.0);
             let zone = f64::from(u8::from(f.zone[i] == self.plant.zone));
             let sum = ZONE_WEIGHT * zone + SUCCESS_WEIGHT * self.success(i) + ROOM_WEIGHT * spare;
+            let sum = if f.doubted[i] { sum - LAST } else { sum };
             if terms.live && !held(i) { sum / 2.0 } else { sum }
         };
         let fits = |i: usize| self.fitting(p, s, i).map(|rung| (score(i), i, rung));
@@ -432,6 +440,7 @@
         let cut = if may_follow { (self.now + span).min(s.until) } else { s.until };
         if s.setups > 0 {
             self.counts.further.add(self.now, self.plant.ration.map_or(Span::ZERO, |r| r.span));
+            self.fleet.further[i].add(self.now, self.plant.repeats.map_or(Span::ZERO, |r| r.1));
         }
         self.fleet.sent[i].add(self.now, self.plant.fall_span);
         self.counts.setups.add(self.now, self.plant.fall_span);
@@ -565,6 +574,21 @@
         self.d.plant.turns = (ours.to_vec(), of.max(1) as f64);
     }
 
+    /// How many further SETUPs one node may be sent by us within the span: our part of a bound over all directors.
+    pub fn repeats(&mut self, most: usize, span: Span) {
+        self.d.plant.repeats = Some((most as f64, span));
+    }
+
+    /// Nodes that others found failing, as far as that is agreed: tried when nothing else is left. Guards against
+    /// each director finding out by SETUPs of its own; all nodes at once are as good as none.
+    pub fn doubted(&mut self, nodes: &[Node]) {
+        let f = &mut self.d.fleet;
+        f.doubted.fill(false);
+        for node in nodes {
+            f.index.get(node).into_iter().for_each(|&i| f.doubted[i] = true);
+        }
+    }
+
     /// A whole list begins, as it stands or as it was last held.
     pub fn list_whole(&mut self) {
         self.d.follows = true;
--- a/src/state.rs
+++ b/src/state.rs
@@ -40,6 +40,8 @@
     pub retry_after: Option<Span>,
     pub depth: usize,
     pub ration: Option<Ration>,
+    /// Further SETUPs that one node may be sent by us, and within what; as the fleet has it.
+    pub repeats: Option<(f64, Span)>,
     pub cold_from: f64,
     pub warm_after: Span,
     /// Set-ups for each place that push a cold node over, within `fall_span`.
@@ -73,6 +75,7 @@
             zone: head.zone,
             directors: head.directors.max(1) as f64,
             turns: (vec![head.me], head.directors.max(1) as f64),
+            repeats: None,
             terms: head.groups.iter().map(terms).collect(),
             worth: head.ladder.iter().map(|&(_, worth)| worth).collect(),
             lowest: ladder.first().map_or(0.0, |&(kb, _)| kb),
@@ -354,6 +357,9 @@
         /// The latest start that was told of, or that nothing vouches against; `born` may be a later guess.
         vouched: Instant = Instant::LONG_AGO,
         sent: Recent = Recent::default(),
+        further: Recent = Recent::default(),
+        /// Others find it failing.
+        doubted: bool = false,
         /// Last note of short delivery with its share, and last drop on account of one.
         short: Instant = Instant::LONG_AGO,
         share: f64 = 1.0,
--- a/tests/traces.rs
+++ b/tests/traces.rs
@@ -651,3 +651,72 @@
     "#]]
     .assert_eq(&traces.concat());
 }
+
+/// Others found node 2 failing, where this director would go: it is tried last, and when all are so, all are as good as before.
+#[test]
+fn what_others_found_failing_is_tried_last() {
+    let traces = [vec![], vec![2], vec![1, 2, 3]].map(|last| {
+        let mut desk = Desk::open(3, |_| {});
+        desk.at(1.0, |r| {
+            r.doubted(&last.iter().map(|&n| Node(n)).collect::<Vec<_>>());
+            r.asked(Sess(1), want(1, 0, 3));
+        });
+        desk.ended(1.1, 1, Ending::Fault);
+        desk.ended(1.2, 1, Ending::Fault);
+        desk.at(2.0, |r| r.doubted(&[]));
+        desk.at(2.1, |r| r.asked(Sess(2), want(1, 0, 3)));
+        format!("last {last:?}\n{}", desk.trace)
+    });
+    expect![[r#"
+        last []
+        1.00 s: rung 2 of 1, setup 1 at 2 until 1500
+        1.10 s: setup 1 at 3 until 1550
+        1.20 s: setup 1 at 1 until 4000
+        2.10 s: rung 2 of 2, setup 2 at 2 until 2600
+        last [2]
+        1.00 s: rung 2 of 1, setup 1 at 3 until 1500
+        1.10 s: setup 1 at 1 until 1550
+        1.20 s: setup 1 at 2 until 4000
+        2.10 s: rung 2 of 2, setup 2 at 2 until 2600
+        last [1, 2, 3]
+        1.00 s: rung 2 of 1, setup 1 at 2 until 1500
+        1.10 s: setup 1 at 3 until 1550
+        1.20 s: setup 1 at 1 until 4000
+        2.10 s: rung 2 of 2, setup 2 at 2 until 2600
+    "#]]
+    .assert_eq(&traces.concat());
+}
+
+/// A bound of the fleet on further SETUPs at one node, of which this director has none, one, or more than it needs.
+#[test]
+fn further_setups_at_one_node_stay_within_our_part_of_the_fleet_s_bound() {
+    let traces = [0, 1, 9].map(|most| {
+        let mut desk = Desk::open(2, |_| {});
+        desk.at(1.0, |r| {
+            r.repeats(most, Span::from_secs(2.0));
+            (1..=4).for_each(|sess| r.asked(Sess(sess), want(1, 0, 0)));
+        });
+        (1..=4).for_each(|sess| desk.ended(1.1 + sess as f64 / 100.0, sess, Ending::Full));
+        format!("{most} of ours\n{}", desk.trace)
+    });
+    expect![[r#"
+        0 of ours
+        1.00 s: rung 0 of 1, setup 1 at 2 until 1500, rung 0 of 2, setup 2 at 2 until 1500, rung 0 of 3, setup 3 at 2 until 1500, rung 0 of 4, setup 4 at 2 until 1500
+        1.11 s: busy 1 Some(1000.0)
+        1.12 s: busy 2 Some(1000.0)
+        1.13 s: busy 3 Some(1000.0)
+        1.14 s: busy 4 Some(1000.0)
+        1 of ours
+        1.00 s: rung 0 of 1, setup 1 at 2 until 1500, rung 0 of 2, setup 2 at 2 until 1500, rung 0 of 3, setup 3 at 2 until 1500, rung 0 of 4, setup 4 at 2 until 1500
+        1.11 s: setup 1 at 1 until 1555
+        1.12 s: busy 2 Some(1000.0)
+        1.13 s: busy 3 Some(1000.0)
+        1.14 s: busy 4 Some(1000.0)
+        9 of ours
+        1.00 s: rung 0 of 1, setup 1 at 2 until 1500, rung 0 of 2, setup 2 at 2 until 1500, rung 0 of 3, setup 3 at 2 until 1500, rung 0 of 4, setup 4 at 2 until 1500
+        1.11 s: setup 1 at 1 until 1555
+        1.12 s: setup 2 at 1 until 1560
+        1.13 s: setup 3 at 1 until 1565
+        1.14 s: setup 4 at 1 until 1570
+    "#]].assert_eq(&traces.concat());
+}
