Box lists: reading a list no longer brings on the next look at it

Seen while nine directors ran on one machine: each took a third of a core with hardly any traffic. perf: samples in lists::follow and in notify's inotify loop. Cause: the watcher took every event of the folder for a change, and reading the list is one (Access), so each look brought on the next for as long as the director ran; a log written into the same folder did the same. Ruled out: what directors tell each other (1,174 asks in ten seconds over all nine).

Change: events of reading, and of data written into other files, are passed over (lists.rs, concerns). Test: a real watcher's events through the filter.

--- a/crates/director/src/lists.rs
+++ b/crates/director/src/lists.rs
@@ -1,6 +1,7 @@
 //! Box lists as files: read when they change and, where changes are not told, every so often. What that comes to is
 //! decided in `ashglade_roster::watch`; what is in force is written down, for the director that comes after this one.
 
+use std::ffi::{OsStr, OsString};
 use std::path::{Path, PathBuf};
 use std::sync::Arc;
 
@@ -118,13 +119,33 @@
     }
 }
 
+/// Whether an event in a list's folder may be one of the list. Reading is none: a look at the list would bring on the next.
+/// Nor is what is written into other files there, as a log; but a link or folder that is put in place may lead to the list.
+fn concerns(event: &notify::Event, ours: &[OsString]) -> bool {
+    use notify::EventKind;
+    use notify::event::ModifyKind;
+    match event.kind {
+        EventKind::Access(_) => false,
+        EventKind::Modify(ModifyKind::Data(_)) => event
+            .paths
+            .iter()
+            .filter_map(|path| path.file_name())
+            .any(|name| ours.iter().any(|our| our == name)),
+        _ => true,
+    }
+}
+
 /// Follows the sources for as long as the director runs.
 pub async fn follow(shared: Arc<Shared>, files: Files, mut watch: Watch) {
     let names = shared.settings.names.clone();
     let (changed, mut changes) = mpsc::channel::<()>(1);
     // One that waits to be read is as good as many.
-    let watcher = notify::recommended_watcher(move |_| {
-        let _ = changed.try_send(());
+    let ours: Vec<_> =
+        files.sources.iter().filter_map(|path| path.file_name().map(OsStr::to_owned)).collect();
+    let watcher = notify::recommended_watcher(move |event: notify::Result<notify::Event>| {
+        if event.map_or(true, |event| concerns(&event, &ours)) {
+            let _ = changed.try_send(());
+        }
     });
     let mut watcher =
         watcher.map_err(|error| warn!(%error, "changes of files aren't told; they are looked for")).ok();
@@ -176,3 +197,48 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use std::sync::mpsc;
+    use std::time::Duration;
+
+    use super::*;
+
+    /// A watcher's events on a folder, as real ones are told, through the filter.
+    #[test]
+    fn reading_a_list_brings_on_no_other_look() {
+        let folder = tempfile::tempdir().unwrap();
+        let (list, log) = (folder.path().join("boxes.txtpb"), folder.path().join("log.txt"));
+        std::fs::write(&list, "generation: 1").unwrap();
+        std::fs::write(&log, "").unwrap();
+        let (sender, told) = mpsc::channel();
+        let mut watcher = notify::recommended_watcher(move |event| drop(sender.send(event))).unwrap();
+        watcher.watch(folder.path(), notify::RecursiveMode::NonRecursive).unwrap();
+        // Each is followed by a change of a name that ends what it brought on.
+        let ours = [OsString::from("boxes.txtpb")];
+        let mut concerns_us = |done: &dyn Fn()| {
+            done();
+            std::fs::create_dir(folder.path().join("end")).unwrap();
+            let mut any = false;
+            loop {
+                let event: notify::Event = told.recv_timeout(Duration::from_secs(20)).unwrap().unwrap();
+                if event.paths.iter().any(|path| path.ends_with("end")) && event.kind.is_create() {
+                    std::fs::remove_dir(folder.path().join("end")).unwrap();
+                    while told.recv_timeout(Duration::from_secs(20)).unwrap().unwrap().kind.is_remove()
+                        == false
+                    {}
+                    return any;
+                }
+                any |= concerns(&event, &ours);
+            }
+        };
+        assert!(!concerns_us(&|| drop(std::fs::read(&list))), "it is read");
+        assert!(!concerns_us(&|| std::fs::write(&log, "more").unwrap()), "a log grows");
+        assert!(concerns_us(&|| std::fs::write(&list, "generation: 2").unwrap()), "it is written");
+        let new = folder.path().join("new");
+        std::fs::write(&new, "generation: 3").unwrap();
+        assert!(concerns_us(&|| std::fs::rename(&new, &list).unwrap()), "another is put in its place");
+        assert!(concerns_us(&|| std::fs::remove_file(&list).unwrap()), "it is gone");
+    }
+}
