Lab: fleets of processes with a relay on every path, faults that start on what passes, shared bounds judged

The judge has three rules more, from relays and nodes alone: a right is lent to one at a time, further SETUPs at a node stay within the fleet's bound, nobody uses what isn't lent to it.

Found on the way: a SETUP given up during a cut would still be delivered when it heals, so an unanswered connection is reset, not closed (attempt.rs); where directors reach a node by different addresses the box list may give it an id, or turns at cold nodes would not be the same at all.

--- a/crates/director/src/attempt.rs
+++ b/crates/director/src/attempt.rs
@@ -5,9 +5,9 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 
-use ashglade::ids::{Sess, SetupNo};
+use ashglade::ids::{Node, Sess, SetupNo};
 use ashglade::interface::Ending;
-use ashglade::time::{Instant, Span};
+use ashglade::time::Instant;
 use ashglade_engine::{Input, Load};
 use ashglade_rtsp::client::{Answer, Client};
 use ashglade_rtsp::{Packet, Response, messages};
@@ -16,6 +16,7 @@
 use tokio::task::JoinHandle;
 
 use crate::node::NodeSide;
+use crate::pool::Connection;
 use crate::serve::Shared;
 
 /// How a SETUP ended, with the load that the answer told; where the node accepted it, with what the front holds of it.
@@ -59,7 +60,7 @@
     /// False if it must not be written any longer: a director that stood still since it decided may have decided it by
     /// rights that are another's by now. Only where directors share any.
     pub async fn writing(&self, shared: &Shared) -> bool {
-        let within = Span::from_secs(shared.settings.front.connect_timeout.as_secs_f64() + LATE);
+        let within = ashglade_talk::under_way(&shared.settings);
         if shared.settings.talk.is_some() && shared.clock.now() - self.decided > within {
             return false;
         }
@@ -69,10 +70,6 @@
     }
 }
 
-/// What tasks may wait for each other between the decision and the first byte, in seconds, beyond the connection: under what
-/// rights are given up early by.
-const LATE: f64 = 0.2;
-
 impl<T: Send + 'static> Attempt<T> {
     pub fn start<F>(
         sess: Sess,
@@ -110,7 +107,8 @@
 
 /// What is to be set up where, by RTSP.
 pub struct Wanted {
-    pub node: SocketAddr,
+    pub node: Node,
+    pub address: SocketAddr,
     pub url: Url,
     /// The track that the viewer begins with.
     pub track: u8,
@@ -118,32 +116,33 @@
 
 /// Sends a SETUP by RTSP.
 pub async fn send(shared: Arc<Shared>, wanted: Wanted, begins: Begins) -> Outcome<Box<NodeSide>> {
-    let Wanted { node, url, track } = wanted;
-    let connection = shared.pool.connect(node, shared.settings.front.connect_timeout).await;
-    let mut connection = connection.map_err(|_| (End::As(Ending::Unreachable), None))?;
+    let Wanted { node, address, url, track } = wanted;
+    let connection = shared.pool.connect(address, shared.settings.front.connect_timeout).await;
+    let connection = connection.map_err(|_| (End::As(Ending::Unreachable), None))?;
     let mut client = Client::new(url);
     let request = client.setup(track, shared.clock.micros());
     if !begins.writing(&shared).await {
-        shared.pool.put(node, connection);
+        shared.pool.put(address, connection);
         return Err((End::As(Ending::Unsent), None));
     }
     let lost = |_| (End::As(Ending::Lost), None);
-    connection.send(Packet::Request(request)).await.map_err(lost)?;
+    let mut out = Unanswered(Some(connection));
+    out.connection()?.send(Packet::Request(request)).await.map_err(lost)?;
     loop {
-        let packet = connection.next().await.ok_or((End::As(Ending::Lost), None))?.map_err(lost)?;
+        let packet = out.connection()?.next().await.ok_or((End::As(Ending::Lost), None))?.map_err(lost)?;
         let Packet::Response(response) = packet else { continue };
         let load = load(&response);
         match client.answered(&response) {
             Answer::Done(_) => {
-                let side = NodeSide::hold(&shared, node, connection, client).await;
+                let side = NodeSide::hold(&shared, (node, address), out.answered()?, client).await;
                 return Ok((Box::new(side), load));
             }
             Answer::Refused(_, StatusCode::NotEnoughBandwidth | StatusCode::ServiceUnavailable) => {
-                shared.pool.put(node, connection);
+                shared.pool.put(address, out.answered()?);
                 return Err((End::As(Ending::Full), load));
             }
             Answer::Refused(_, StatusCode::NotFound) => {
-                shared.pool.put(node, connection);
+                shared.pool.put(address, out.answered()?);
                 return Err((End::Missing, load));
             }
             Answer::Refused(..) => return Err((End::As(Ending::Fault), load)),
@@ -152,6 +151,28 @@
     }
 }
 
+/// A connection with a SETUP on it that has no answer. Given up, it is reset and not closed: what the other end has not
+/// taken yet is dropped. Guards against a SETUP that arrives when a cut heals, long after others were set up in its place.
+struct Unanswered(Option<Connection>);
+
+impl Unanswered {
+    fn connection(&mut self) -> Result<&mut Connection, (End, Option<Load>)> {
+        self.0.as_mut().ok_or((End::As(Ending::Lost), None))
+    }
+
+    fn answered(&mut self) -> Result<Connection, (End, Option<Load>)> {
+        self.0.take().ok_or((End::As(Ending::Lost), None))
+    }
+}
+
+impl Drop for Unanswered {
+    fn drop(&mut self) {
+        if let Some(connection) = &self.0 {
+            let _ = connection.get_ref().set_zero_linger();
+        }
+    }
+}
+
 /// The load that an answer tells, in the engine's words.
 pub fn load(response: &Response) -> Option<Load> {
     messages::load_of(response).map(in_our_words)
--- a/crates/director/src/core.rs
+++ b/crates/director/src/core.rs
@@ -29,8 +29,18 @@
 /// What a session's task is told.
 #[derive(Clone, Copy, Debug)]
 pub enum Order {
-    Setup { setup: SetupNo, address: SocketAddr, http: Option<SocketAddr>, rung: Rung, decided: Instant },
-    Withdraw { setup: SetupNo, if_unsent: bool },
+    Setup {
+        setup: SetupNo,
+        node: Node,
+        address: SocketAddr,
+        http: Option<SocketAddr>,
+        rung: Rung,
+        decided: Instant,
+    },
+    Withdraw {
+        setup: SetupNo,
+        if_unsent: bool,
+    },
     Answer(Answer),
     Rung(Rung),
     Release,
@@ -285,7 +295,7 @@
                 let addresses = self.engine.roster().entry(node).map(|entry| (entry.address, entry.http));
                 let sent = addresses.is_some_and(|(address, http)| {
                     debug!(sess = sess.0, node = %address, rung = rung.0, "SETUP");
-                    self.order(sess, Order::Setup { setup, address, http, rung, decided: now })
+                    self.order(sess, Order::Setup { setup, node, address, http, rung, decided: now })
                 });
                 if !sent {
                     self.next.push(Input::Ended { sess, setup, how: Ending::Unsent, load: None });
--- a/crates/director/src/hls/fetch.rs
+++ b/crates/director/src/hls/fetch.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use ashglade::ids::Node;
 use ashglade::interface::Ending;
 use ashglade_engine::Load;
 use ashglade_hls::Variant;
@@ -24,7 +25,7 @@
 /// A session that its node has accepted.
 pub struct Accepted {
     /// Where the node serves HLS, and the address by which lists know it.
-    pub node: (SocketAddr, SocketAddr),
+    pub node: (Node, SocketAddr, SocketAddr),
     /// Its multivariant playlist, and what that names.
     pub master: Bytes,
     pub variants: Vec<Variant>,
@@ -47,12 +48,12 @@
 /// Sends a SETUP by HTTP.
 pub async fn send(
     shared: Arc<Shared>,
-    node: (SocketAddr, SocketAddr),
+    node: (Node, SocketAddr, SocketAddr),
     url: Url,
     begins: Begins,
 ) -> Outcome<Accepted> {
     let within = shared.settings.front.connect_timeout;
-    let connected = tokio::time::timeout(within, TcpStream::connect(node.0)).await;
+    let connected = tokio::time::timeout(within, TcpStream::connect(node.1)).await;
     let Ok(Ok(stream)) = connected else { return Err((End::As(Ending::Unreachable), None)) };
     let _ = stream.set_nodelay(true);
     let request = request(&url).ok_or((End::As(Ending::Unsent), None))?;
@@ -82,7 +83,7 @@
     match playlist::master(&master, &place, f64::INFINITY, &|_, path| path.to_string()) {
         Ok(read) => Ok((Accepted { node, master, variants: read.variants }, load)),
         Err(trouble) => {
-            tracing::warn!(node = %node.0, %trouble, "a multivariant playlist can't be used");
+            tracing::warn!(node = %node.1, %trouble, "a multivariant playlist can't be used");
             Err((End::As(Ending::Fault), load))
         }
     }
--- a/crates/director/src/hls/session.rs
+++ b/crates/director/src/hls/session.rs
@@ -183,11 +183,11 @@
     async fn order(&mut self, order: Order) {
         let shared = self.front.shared.clone();
         match order {
-            Order::Setup { setup, http, address, rung, decided } => {
+            Order::Setup { setup, node, http, address, rung, decided } => {
                 let url = http.and_then(|http| self.master_url(http, rung));
                 match (http, url) {
                     (Some(http), Some(url)) => {
-                        let send = |begins| fetch::send(shared, (http, address), url, begins);
+                        let send = |begins| fetch::send(shared, (node, http, address), url, begins);
                         self.attempt = Some(Attempt::start(self.sess, setup, decided, send));
                     }
                     _ => {
@@ -260,7 +260,7 @@
     }
 
     fn url(&self, path: &str) -> Option<Url> {
-        Url::parse(&format!("http://{}/{}/{path}", self.held.as_ref()?.node.0, self.title)).ok()
+        Url::parse(&format!("http://{}/{}/{path}", self.held.as_ref()?.node.1, self.title)).ok()
     }
 
     async fn job(&mut self, job: Job) {
@@ -301,7 +301,7 @@
 
     fn master(&mut self, job: Job) {
         let Some(held) = &self.held else { return };
-        let Some(url) = self.master_url(held.node.0, Rung(0)) else { return };
+        let Some(url) = self.master_url(held.node.1, Rung(0)) else { return };
         let folder = fetch::folder(&url);
         let place = Place { url: &url, folder: &folder };
         let give =
@@ -338,7 +338,7 @@
             }
         };
         if let (Some(load), Some(held)) = (load, &self.held) {
-            let node = ashglade_roster::id_of(&held.node.1);
+            let node = held.node.0;
             shared.core.tell(Input::Load { node, load }).await;
         }
         if status != StatusCode::OK {
--- a/crates/director/src/lib.rs
+++ b/crates/director/src/lib.rs
@@ -14,5 +14,6 @@
 mod viewer;
 
 pub use ashglade_clock::Clock;
+pub use ashglade_talk::Defect;
 pub use lists::Files;
 pub use serve::{Options, Trouble, door_view, load, replay_start, serve, shared_view};
--- a/crates/director/src/node.rs
+++ b/crates/director/src/node.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use ashglade::ids::Sess;
+use ashglade::ids::{Node, Sess};
 use ashglade::time::Span;
 use ashglade_ledger::Held;
 use ashglade_rtsp::client::{Answer, Client, Purpose};
@@ -17,6 +17,7 @@
 use crate::serve::Shared;
 
 pub struct NodeSide {
+    pub node: Node,
     pub address: SocketAddr,
     pub client: Client,
     connection: Connection,
@@ -28,20 +29,20 @@
     /// A session that the node has just set up; it is written down.
     pub async fn hold(
         shared: &Shared,
-        address: SocketAddr,
+        (node, address): (Node, SocketAddr),
         connection: Connection,
         client: Client,
     ) -> NodeSide {
         let key = shared.new_sess();
         let held = Held {
-            node: ashglade_roster::id_of(&address),
+            node,
             address,
             url: client.url().to_string(),
             session: client.session().unwrap_or_default().to_string(),
             timeout: Span::from_secs(client.timeout().into()),
         };
         shared.core.send(Command::Page(Page::Hold(key, held))).await;
-        NodeSide { address, client, connection, key }
+        NodeSide { node, address, client, connection, key }
     }
 
     async fn send(&mut self, shared: &Shared, request: Request) -> Result<(), Fault> {
--- a/crates/director/src/viewer.rs
+++ b/crates/director/src/viewer.rs
@@ -239,12 +239,12 @@
         let Some(live) = &mut self.live else { return Ok(()) };
         let sess = live.sess;
         match order {
-            Order::Setup { setup, address, rung, decided, .. } => {
+            Order::Setup { setup, node, address, rung, decided, .. } => {
                 (live.rung, live.told) = (rung.0, rung.0);
                 match live.asked.rendition(address, rung.0) {
                     Some(url) => {
                         let track = self.server.track();
-                        let wanted = Wanted { node: address, url, track };
+                        let wanted = Wanted { node, address, url, track };
                         let send = |begins| attempt::send(shared, wanted, begins);
                         live.attempt = Some(Attempt::start(sess, setup, decided, send));
                     }
@@ -402,7 +402,7 @@
         let Some(live) = &mut self.live else { return Ok(()) };
         let Some(node) = &mut live.node else { return Ok(()) };
         if let Some(load) = attempt::load(&response) {
-            let node = ashglade_roster::id_of(&node.address);
+            let node = node.node;
             shared.core.tell(Input::Load { node, load }).await;
         }
         let reply = match node.client.answered(&response) {
--- a/crates/engine/src/tests.rs
+++ b/crates/engine/src/tests.rs
@@ -65,7 +65,14 @@
     let place = |n| Place { zone: Zone(0), model: Model(0), cell: Cell(n), weight: 1.0, started: None };
     let entry = |(n, &standing): (usize, &Standing)| {
         let n = n as u16 + 1;
-        Entry { name: format!("n{n}"), address: address(n), http: None, place: place(n - 1), standing }
+        Entry {
+            name: format!("n{n}"),
+            address: address(n),
+            http: None,
+            id: None,
+            place: place(n - 1),
+            standing,
+        }
     };
     Input::List(List { generation, entries: standings.iter().enumerate().map(entry).collect() })
 }
--- a/crates/judge/src/lib.rs
+++ b/crates/judge/src/lib.rs
@@ -2,10 +2,11 @@
 //! and no code is shared with it: what is judged here can't be wrong in the same way.
 
 mod rules;
+mod shared;
 mod sights;
 
 pub use rules::{Broken, Finding, Verdict, judge};
-pub use sights::{Care, Group, Node, Plan, Reach, Sight, Traffic, Trouble, What};
+pub use sights::{Care, Group, Node, Plan, Reach, Repeats, Shared, Sight, Traffic, Trouble, What};
 
 #[cfg(test)]
 mod tests;
--- a/crates/judge/src/rules.rs
+++ b/crates/judge/src/rules.rs
@@ -153,7 +153,15 @@
             }
             What::Closed { node, connection } => {
                 if let Some(i) = on.remove(&(node.as_str(), *connection)) {
-                    setups[i].closed = Some(at);
+                    setups[i].closed = setups[i].closed.or(Some(at));
+                }
+            }
+            What::Withdrawn { node, viewer, again } => {
+                // Its node may hear of it only later, or never.
+                let out =
+                    |s: &&mut Setup| s.node == node && s.viewer == (*viewer, *again) && s.closed.is_none();
+                if let Some(setup) = setups.iter_mut().rev().find(out) {
+                    setup.closed = Some(at);
                 }
             }
             What::Switched { node, connection, rung } => {
@@ -164,7 +172,7 @@
             _ => {}
         }
     }
-    let findings = vec![
+    let mut findings = vec![
         lost(traffic, &requests),
         twice(plan, &requests, &setups),
         drains(traffic, &requests, &setups),
@@ -172,6 +180,14 @@
         terms(plan, &requests, &setups),
         ration(plan, &requests, &setups),
     ];
+    if let Some(terms) = &plan.shared {
+        let further = requests.values().flat_map(|request| {
+            let later =
+                request.setups.iter().skip(1).map(|&i| (setups[i].at, setups[i].node, request.director));
+            later.collect::<Vec<_>>()
+        });
+        findings.extend(crate::shared::judge(terms, plan.slack, further.collect(), &traffic.sights));
+    }
     let (service, viewers) = service(&requests, |_| true);
     let group = |group: &Group| {
         let (service, viewers) = self::service(&requests, |other| other.name == group.name);
@@ -189,7 +205,14 @@
         .sights
         .iter()
         .filter_map(|sight| match sight.what {
-            What::DirectorKilled { director } => Some((director, sight.at, sight.at + traffic.plan.slack)),
+            What::DirectorKilled { director } => {
+                let again = |s: &&crate::Sight| {
+                    s.at > sight.at
+                        && matches!(s.what, What::DirectorStarted { director: d } if d == director)
+                };
+                let until = traffic.sights.iter().find(again).map_or(sight.at, |s| s.at);
+                Some((director, sight.at, until + traffic.plan.slack))
+            }
             What::DirectorStood { director, from } => Some((director, from, sight.at)),
             _ => None,
         })
--- a/crates/judge/src/sights.rs
+++ b/crates/judge/src/sights.rs
@@ -54,6 +54,32 @@
     pub ration: Option<(f64, f64, f64)>,
     /// How far the clocks of two sockets on one machine may be apart: reading is not instant.
     pub slack: f64,
+    /// Bounds over all directors together, where they share any.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub shared: Option<Shared>,
+}
+
+/// What directors share, as its rules go by it.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Shared {
+    pub lease: f64,
+    pub drift: f64,
+    /// What must pass between two holders of a right.
+    pub rest: f64,
+    /// What a holder may take from a decision to its SETUP at the node.
+    pub under_way: f64,
+    /// By home: who votes on its rights.
+    pub councils: Vec<Vec<u16>>,
+    /// Further SETUPs that one node is sent by all within the span, what each director keeps of them, and their pool.
+    pub repeats: Option<Repeats>,
+}
+
+#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
+pub struct Repeats {
+    pub at_node: usize,
+    pub kept: usize,
+    pub span: f64,
+    pub pool: u8,
 }
 
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -138,6 +164,39 @@
     DirectorKilled {
         director: u16,
     },
+    DirectorStarted {
+        director: u16,
+    },
+    /// A director's side of the connection on which this SETUP is out was closed, before its node could hear of it.
+    Withdrawn {
+        node: String,
+        viewer: u64,
+        again: u32,
+    },
+    /// A director asked a voter for rights, on the wire between them; its process and the number of the ask.
+    RightsAsked {
+        holder: u16,
+        voter: u16,
+        process: u64,
+        ask: u64,
+    },
+    /// The voter granted these, by pool and number; `passed` if the wire carried it on.
+    RightsGranted {
+        passed: bool,
+        voter: u16,
+        holder: u16,
+        process: u64,
+        ask: u64,
+        rights: Vec<(u8, u32)>,
+    },
+    /// The director said to the voter that it uses these no longer.
+    RightsBack {
+        holder: u16,
+        voter: u16,
+        process: u64,
+        ask: u64,
+        rights: Vec<(u8, u32)>,
+    },
     /// A director's process stood still from then until now.
     DirectorStood {
         director: u16,
--- a/crates/lab/src/day.rs
+++ b/crates/lab/src/day.rs
@@ -11,6 +11,9 @@
 }
 
 pub use schema::{Day, Kind};
+use schema::{Deed, Fault};
+
+use crate::net::Parties;
 
 pub const SCHEMA: &[u8] = include_bytes!(concat!(env!("OUT_DIR"), "/schema.bin"));
 
@@ -56,6 +59,10 @@
     for (i, trouble) in day.trouble.iter().enumerate() {
         check(&at, i, trouble, (nodes, racks, directors))?;
     }
+    let parties = crate::play::parties(&day);
+    for (i, fault) in day.fault.iter().enumerate() {
+        check_fault(&at, &format!("fault[{i}]"), fault, &parties)?;
+    }
     Ok(day)
 }
 
@@ -99,6 +106,49 @@
     Ok(())
 }
 
+fn check_fault(at: &Source, field: &str, fault: &Fault, parties: &Parties) -> Result<(), Trouble> {
+    let named = |list: &str, names: &[String]| {
+        for (k, name) in names.iter().enumerate() {
+            if parties.named(name).is_none() {
+                let what = format!(
+                    "{name:?} is nobody; as \"director 3\", \"node 5\", \"zone NAME\" or \"viewers\""
+                );
+                return Err(at.trouble(&format!("{field}.{list}[{k}]"), what));
+            }
+        }
+        Ok(())
+    };
+    named("from", &fault.from)?;
+    named("to", &fault.to)?;
+    let inside = |name: &str| format!("{field}.{name}");
+    match (&fault.when, fault.at_s) {
+        (Some(_), Some(_)) | (None, None) => return Err(at.trouble(field, "wants one of at_s and when")),
+        (None, time) => drop(at.within(&inside("at_s"), time, 0.0, 3600.0)?),
+        (Some(when), None) => {
+            named("when.from", &when.from)?;
+            named("when.to", &when.to)?;
+        }
+    }
+    at.within(&inside("for_s"), Some(fault.for_s.unwrap_or(0.0)), 0.0, 3600.0)?;
+    if fault.from.is_empty() {
+        return Err(at.trouble(&inside("from"), "is left out"));
+    }
+    let (from, to) = match fault.deed() {
+        Deed::NoDeed => return Err(at.trouble(&inside("deed"), "is left out")),
+        Deed::Cut => return Ok(()),
+        Deed::Kill | Deed::Stop => {
+            let other = fault.from.iter().position(|name| !name.starts_with("director"));
+            return other.map_or(Ok(()), |k| {
+                Err(at.trouble(&inside(&format!("from[{k}]")), "only directors are killed or stopped"))
+            });
+        }
+        Deed::Delay | Deed::Reorder => (0.0, 60_000.0),
+        Deed::Loss | Deed::Double => (0.0, 1.0),
+        Deed::Trickle => (1.0, 1e9),
+    };
+    at.within(&inside("size"), fault.size, from, to).map(drop)
+}
+
 fn check(at: &Source, i: usize, trouble: &schema::Trouble, of: (f64, f64, f64)) -> Result<(), Trouble> {
     let field = |name: &str| format!("trouble[{i}].{name}");
     at.within(&field("at_s"), trouble.at_s, 0.0, 3600.0)?;
--- a/crates/lab/src/directors.rs
+++ b/crates/lab/src/directors.rs
@@ -10,7 +10,7 @@
 use ashglade_standin::Log;
 use nix::sys::signal::{Signal, kill};
 use nix::unistd::Pid;
-use prost_reflect::{DescriptorPool, DynamicMessage, ReflectMessage as _};
+use prost_reflect::{DescriptorPool, DynamicMessage};
 use tokio::net::TcpSocket;
 use tokio::process::{Child, Command};
 
@@ -25,11 +25,18 @@
     seconds: Vec<(SocketAddr, TcpSocket)>,
     running: Mutex<Vec<Option<Child>>>,
     log: Log,
+    /// Directors are broken so, on purpose.
+    pub defect: Option<String>,
 }
 
 impl Directors {
-    /// Writes settings for each director; none is started yet.
-    pub fn prepare(day: &Day, out: &Path, log: Log) -> Result<Directors, String> {
+    /// Writes settings for each director; none is started yet. Those that talk are told where each finds the others.
+    pub fn prepare(
+        day: &Day,
+        out: &Path,
+        log: Log,
+        peers: impl Fn(u16) -> Option<Vec<String>>,
+    ) -> Result<Directors, String> {
         let count = day.directors.unwrap_or(1) as u16;
         let hold = || -> std::io::Result<TcpSocket> {
             let socket = TcpSocket::new_v4()?;
@@ -50,13 +57,14 @@
             let second = hold().map_err(|e| format!("no port on loopback: {e}"))?;
             let http = second.local_addr().map_err(|e| e.to_string())?;
             seconds.push((http, second));
-            let text = headend(day, number, &address.to_string(), &http.to_string())?;
+            let peers = peers(number);
+            let text = headend(day, number, &address.to_string(), &http.to_string(), peers)?;
             let path = folder.join("headend.txtpb");
             std::fs::write(&path, text).map_err(|e| format!("{}: {e}", path.display()))?;
             all.push((number, address, folder));
         }
         let running = Mutex::new(all.iter().map(|_| None).collect());
-        Ok(Directors { all, _ports: ports, seconds, running, log })
+        Ok(Directors { all, _ports: ports, seconds, running, log, defect: None })
     }
 
     /// Where a director serves HLS.
@@ -77,6 +85,9 @@
         let log = log.map_err(|e| format!("{}: {e}", path.display()))?;
         let mut command = Command::new(program);
         command.arg("director").arg("--settings").arg(folder.join("headend.txtpb"));
+        if let Some(defect) = &self.defect {
+            command.arg("--defect").arg(defect);
+        }
         if record {
             command.arg("--record").arg(folder.join("rounds.jsonl"));
         }
@@ -90,6 +101,7 @@
         self.put(number, Some(child));
         for _ in 0..200 {
             if tokio::net::TcpStream::connect(address).await.is_ok() {
+                self.log.saw(What::DirectorStarted { director: number });
                 return Ok(());
             }
             tokio::time::sleep(std::time::Duration::from_millis(25)).await;
@@ -147,9 +159,20 @@
 }
 
 /// The settings of one of the day's directors, as text.
-pub fn headend(day: &Day, number: u16, listen: &str, http: &str) -> Result<String, String> {
+pub fn headend(
+    day: &Day,
+    number: u16,
+    listen: &str,
+    http: &str,
+    peers: Option<Vec<String>>,
+) -> Result<String, String> {
     let mut headend = day.headend.clone().unwrap_or_default();
-    let zone = headend.zone.get(usize::from(number) % headend.zone.len().max(1)).cloned();
+    let zone_of = |number: usize| headend.zone.get(number % headend.zone.len().max(1)).cloned();
+    let zone = zone_of(usize::from(number));
+    let zones = (0..day.directors.unwrap_or(1) as usize).filter_map(zone_of).collect();
+    if let (Some(talk), Some(peers)) = (&mut headend.talk, peers) {
+        (talk.peer, talk.peer_zone) = (peers, zones);
+    }
     headend.director = Some(schema::Director {
         number: Some(number.into()),
         directors: Some(day.directors.unwrap_or(1)),
@@ -165,10 +188,14 @@
 }
 
 fn write(headend: &schema::Headend) -> Result<String, String> {
-    let pool = DescriptorPool::decode(SCHEMA).map_err(|e| e.to_string())?;
-    let kind = pool.get_message_by_name("ashglade.headend.Headend").ok_or("no schema of the headend")?;
-    let mut message = DynamicMessage::new(kind);
-    message.transcode_from(headend).map_err(|e| e.to_string())?;
-    debug_assert_eq!(message.descriptor().name(), "Headend");
-    Ok(message.to_text_format_with_options(&prost_reflect::text_format::FormatOptions::new().pretty(true)))
+    text(headend, "ashglade.headend.Headend", SCHEMA)
+}
+
+/// A message in text format, by its name in a compiled schema.
+pub fn text(message: &impl prost::Message, name: &str, schema: &[u8]) -> Result<String, String> {
+    let pool = DescriptorPool::decode(schema).map_err(|e| e.to_string())?;
+    let kind = pool.get_message_by_name(name).ok_or_else(|| format!("no schema of {name}"))?;
+    let mut dynamic = DynamicMessage::new(kind);
+    dynamic.transcode_from(message).map_err(|e| e.to_string())?;
+    Ok(dynamic.to_text_format_with_options(&prost_reflect::text_format::FormatOptions::new().pretty(true)))
 }
--- a/crates/lab/src/emulator/world.rs
+++ b/crates/lab/src/emulator/world.rs
@@ -169,7 +169,7 @@
         let mut starts = Vec::new();
         let mut first = None;
         for number in 0..count {
-            let text = directors::headend(day, number, "127.0.0.1:554", "127.0.0.1:80")?;
+            let text = directors::headend(day, number, "127.0.0.1:554", "127.0.0.1:80", None)?;
             let mut settings = ashglade_settings::settings("headend", &text).map_err(|e| e.to_string())?;
             settings.door = settings.door.filter(|_| door);
             starts.push(ashglade_director::replay_start(&settings));
--- a/crates/lab/src/lists.rs
+++ b/crates/lab/src/lists.rs
@@ -19,9 +19,10 @@
 }
 
 impl Lists {
-    pub fn new(names: Names, log: Log, folders: Vec<PathBuf>, entries: Vec<Entry>) -> Lists {
-        let list = List { generation: 1, entries };
-        let files = folders.into_iter().map(|f| (f.join("boxes.txtpb"), list.clone())).collect();
+    /// By director: its folder, and the nodes as it finds them.
+    pub fn new(names: Names, log: Log, of: Vec<(PathBuf, Vec<Entry>)>) -> Lists {
+        let list = |entries| List { generation: 1, entries };
+        let files = of.into_iter().map(|(f, entries)| (f.join("boxes.txtpb"), list(entries))).collect();
         Lists { names, log, files: Mutex::new(files), stale: Mutex::new(0.0) }
     }
 
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -4,10 +4,12 @@
 mod day;
 mod directors;
 mod emulator;
+mod fleet;
 mod lists;
 mod matrix;
 mod measure;
 mod measure_hls;
+mod net;
 mod play;
 mod plot;
 mod trouble;
@@ -20,6 +22,8 @@
 use ashglade_director::Options;
 use clap::{Parser, Subcommand};
 
+use crate::play::How;
+
 #[derive(Parser)]
 #[command(name = "ashglade-lab", version, about = "Plays days against real directors and judges them")]
 struct Args {
@@ -41,6 +45,26 @@
         #[arg(long)]
         quiet: bool,
     },
+    /// Plays a day with a relay on every path between directors, nodes and viewers, and the day's faults on them; exits 0 only
+    /// if all six rules and the bounds of the fleet held, and every fault started.
+    Fleet {
+        file: PathBuf,
+        #[arg(long, default_value = "target/fleet")]
+        out: PathBuf,
+        #[arg(long)]
+        record: bool,
+        #[arg(long)]
+        quiet: bool,
+        /// Draws faults from this seed in place of the day's; on a failure the least that still fails is written as a day.
+        #[arg(long)]
+        seed: Option<u64>,
+        /// So many seeds, from that on.
+        #[arg(long, default_value_t = 1)]
+        plays: u64,
+        /// Breaks the directors on purpose: no-rest, from-answer or twice.
+        #[arg(long)]
+        defect: Option<String>,
+    },
     /// Plays a day in simulated time, on the same engine; exits 0 only if no rule was seen to break.
     Emulate {
         file: PathBuf,
@@ -93,12 +117,20 @@
         settings: PathBuf,
         #[arg(long)]
         record: Option<PathBuf>,
+        #[arg(long)]
+        defect: Option<String>,
     },
 }
 
 fn main() -> ExitCode {
     let done = match Args::parse().command {
-        Command::Day { file, out, record, quiet } => run(play_day(file, out, record, quiet)),
+        Command::Day { file, out, record, quiet } => {
+            run(play_day(file, out, How { record, quiet, ..How::default() }))
+        }
+        Command::Fleet { file, out, record, quiet, seed, plays, defect } => match seed {
+            Some(seed) => run(fleet::draw_and_play(&file, &out, seed, plays, defect)),
+            None => run(play_day(file, out, How { record, quiet, relayed: true, defect })),
+        },
         Command::Emulate { file, no_door, directors, seed, json, plot } => {
             emulate(&file, no_door, directors, seed, json.as_deref(), plot.as_deref())
         }
@@ -111,14 +143,14 @@
         Command::Measure { out } => run(measure::measure(&out)).map(|()| true),
         Command::MeasureHls { out, sessions } => run(measure_hls::measure(&out, sessions)).map(|()| true),
         Command::Copy { from } => run(measure::copy(from)).map(|()| true),
-        Command::Director { settings, record } => {
+        Command::Director { settings, record, defect } => {
             // A lab that is killed must not leave its directors behind.
             let _ = nix::sys::prctl::set_pdeathsig(nix::sys::signal::Signal::SIGKILL);
             tracing_subscriber::fmt().with_ansi(false).with_writer(std::io::stderr).init();
             run(async {
-                ashglade_director::serve(Options { settings, record, defect: None })
-                    .await
-                    .map_err(|e| e.to_string())
+                let defect = defect.as_deref().map(fleet::defect).transpose()?;
+                let served = ashglade_director::serve(Options { settings, record, defect });
+                served.await.map_err(|e| e.to_string())
             })
             .map(|()| true)
         }
@@ -140,9 +172,12 @@
     done
 }
 
-async fn play_day(file: PathBuf, out: PathBuf, record: bool, quiet: bool) -> Result<bool, String> {
+async fn play_day(file: PathBuf, out: PathBuf, how: How) -> Result<bool, String> {
     let day = day::read(&file)?;
-    let played = play::play(&day, &out, record, quiet).await?;
+    if !how.relayed && !day.fault.is_empty() {
+        return Err(format!("{}: has faults between parties; play it with `fleet`", file.display()));
+    }
+    let played = play::play(&day, &out, &how).await?;
     let media = &played.media;
     let count = |n: &std::sync::atomic::AtomicU64| n.load(Ordering::Relaxed);
     let report = format!(
@@ -162,11 +197,14 @@
         played.times,
         played.memory,
     );
+    let waits = played.started.iter().enumerate().filter(|(_, started)| !**started);
+    let waits: String = waits.map(|(i, _)| format!("fault[{i}] never started\n")).collect();
+    let report = report + &waits;
     print!("{report}");
     let path = out.join("report.txt");
     std::fs::write(&path, &report).map_err(|e| format!("{}: {e}", path.display()))?;
     let continuous = count(&media.foreign) == 0 && count(&media.backward) == 0;
-    Ok(played.verdict.held() && played.orphans == 0 && played.ended_well && continuous)
+    Ok(played.verdict.held() && played.orphans == 0 && played.ended_well && continuous && waits.is_empty())
 }
 
 fn emulate(
--- a/crates/lab/src/matrix.rs
+++ b/crates/lab/src/matrix.rs
@@ -70,7 +70,8 @@
                 let order = running.len();
                 running.spawn(async move {
                     let _place = places.acquire_owned().await;
-                    let played = play::play(&day, &folder, false, true).await;
+                    let played =
+                        play::play(&day, &folder, &play::How { quiet: true, ..play::How::default() }).await;
                     played.map(|played| (order, name, played))
                 });
             }
--- a/crates/lab/src/measure.rs
+++ b/crates/lab/src/measure.rs
@@ -244,7 +244,7 @@
         .replace("seconds: 30\ndirectors: 2", "seconds: 30\ndirectors: 1");
     let day = day::parse("the kept day", &text).map_err(|e| e.to_string())?;
     let log = play::scratch(out)?;
-    let directors = Directors::prepare(&day, out, log.clone())?;
+    let directors = Directors::prepare(&day, out, log.clone(), |_| None)?;
     let path = directors.settings(0).ok_or("no director")?;
     let settings = std::fs::read_to_string(&path).map_err(|e| e.to_string())?;
     let settings = ashglade_settings::settings("settings", &settings).map_err(|e| e.to_string())?;
@@ -261,9 +261,8 @@
         .map(|(node, entry)| ashglade_roster::Entry { address: node.address, http: Some(node.http), ..entry })
         .collect();
     let folders: Vec<_> = directors.all.iter().map(|(.., f)| f.clone()).collect();
-    Lists::new(settings.names.clone(), log.clone(), folders.clone(), entries.clone())
-        .write_all()
-        .map_err(|e| e.to_string())?;
+    let of = folders.iter().map(|folder| (folder.clone(), entries.clone())).collect();
+    Lists::new(settings.names.clone(), log.clone(), of).write_all().map_err(|e| e.to_string())?;
     directors.start(0, false).await?;
     Ok(Set { directors, fleet, lists: (folders, entries, settings.names.clone()), log })
 }
@@ -312,7 +311,8 @@
     if let Some(entry) = entries.first_mut() {
         (entry.address, entry.standing) = (hose, ashglade_roster::Standing::Ready);
     }
-    Lists::new(names.clone(), log, folders, entries).write_all().map_err(|e| e.to_string())?;
+    let of = folders.into_iter().map(|folder| (folder, entries.clone())).collect();
+    Lists::new(names.clone(), log, of).write_all().map_err(|e| e.to_string())?;
     directors.start(0, false).await?;
     let program = std::env::current_exe().map_err(|e| e.to_string())?;
     let mut copier = tokio::process::Command::new(program)
--- a/crates/lab/src/play.rs
+++ b/crates/lab/src/play.rs
@@ -19,6 +19,7 @@
 use crate::day::Day;
 use crate::directors::Directors;
 use crate::lists::Lists;
+use crate::net::{Net, Parties, Party};
 use crate::trouble;
 use crate::visits::{self, Visit};
 
@@ -36,12 +37,14 @@
     pub memory: String,
     /// Directors ended by themselves and well.
     pub ended_well: bool,
+    /// By fault between parties: whether what it waited for came.
+    pub started: Vec<bool>,
 }
 
 /// What all parts of a day share.
 pub struct Stage {
     pub fleet: Arc<Fleet>,
-    pub directors: Directors,
+    pub directors: Arc<Directors>,
     pub lists: Lists,
     pub log: Log,
     pub notice: Duration,
@@ -51,14 +54,28 @@
 /// Processes beside each other on one machine.
 const MOST_DIRECTORS: u32 = 32;
 
-pub async fn play(day: &Day, out: &Path, record: bool, quiet: bool) -> Result<Played, String> {
+/// How a day is played.
+#[derive(Clone, Debug, Default)]
+pub struct How {
+    /// Directors write their rounds.
+    pub record: bool,
+    pub quiet: bool,
+    /// Every path between two parties goes through a relay, with the day's faults.
+    pub relayed: bool,
+    /// Directors are broken so, on purpose.
+    pub defect: Option<String>,
+}
+
+pub async fn play(day: &Day, out: &Path, how: &How) -> Result<Played, String> {
+    let How { record, quiet, .. } = *how;
     if day.directors.is_some_and(|n| n > MOST_DIRECTORS) {
         return Err(format!("a day on sockets has at most {MOST_DIRECTORS} directors; `emulate` takes more"));
     }
     std::fs::create_dir_all(out).map_err(|e| format!("{}: {e}", out.display()))?;
     let headend = day.headend.clone().unwrap_or_default();
     // The settings are checked as a director reads them, before anything starts.
-    let probe = Directors::prepare(day, out, scratch(out)?)?;
+    let nobody = |_| Some((0..day.directors.unwrap_or(1)).map(|d| format!("127.0.0.1:{}", d + 1)).collect());
+    let probe = Directors::prepare(day, out, scratch(out)?, nobody)?;
     let path = probe.settings(0).ok_or("a day needs a director")?;
     let text = std::fs::read_to_string(&path).map_err(|e| e.to_string())?;
     let settings =
@@ -80,9 +97,40 @@
     });
     let entries: Vec<Entry> = entries.collect();
 
-    let directors = Directors::prepare(day, out, log.clone())?;
-    let folders = directors.all.iter().map(|(.., folder)| folder.clone()).collect();
-    let lists = Lists::new(settings.names.clone(), log.clone(), folders, entries);
+    let trouble = |e: std::io::Error| format!("a relay: {e}");
+    let net = if how.relayed {
+        let secret = settings.talk.as_ref().map(|talk| talk.secret.as_str());
+        let parties = parties(day);
+        let net = Net::start(&day.fault, &parties, (seed, secret, record), log.clone());
+        Some(net.await.map_err(trouble)?)
+    } else {
+        None
+    };
+    let peers = |director: u16| net.as_ref().map(|net| net.peers(director));
+    let mut directors = Directors::prepare(day, out, log.clone(), peers)?;
+    directors.defect.clone_from(&how.defect);
+    let directors = Arc::new(directors);
+    let mut of = Vec::new();
+    let mut found: Vec<(u16, SocketAddr)> =
+        directors.all.iter().map(|&(n, address, _)| (n, address)).collect();
+    for (number, _, folder) in &directors.all {
+        let mut entries = entries.clone();
+        if let Some(net) = &net {
+            for (n, entry) in entries.iter_mut().enumerate() {
+                let path = net.path(Party::Director(*number), Party::Node(n), entry.address);
+                entry.address = path.await.map_err(trouble)?;
+                (entry.http, entry.id) = (None, Some(entry.name.clone()));
+            }
+        }
+        of.push((folder.clone(), entries));
+    }
+    if let Some(net) = &net {
+        for (number, address) in &mut found {
+            let path = net.path(Party::Viewers, Party::Director(*number), *address);
+            *address = path.await.map_err(trouble)?;
+        }
+    }
+    let lists = Lists::new(settings.names.clone(), log.clone(), of);
     lists.write_all().map_err(|e| format!("the box lists: {e}"))?;
     for &(number, ..) in &directors.all {
         directors.start(number, record).await?;
@@ -99,12 +147,15 @@
     });
 
     let begun = Instant::now();
+    if let Some(net) = &net {
+        net.begin(stage.directors.clone(), &day.fault, begun);
+    }
     let media = Arc::new(Media::default());
     let mut troubles = JoinSet::new();
     for trouble in &day.trouble {
         troubles.spawn(trouble::cause(stage.clone(), trouble.clone(), begun, record));
     }
-    let scripts = scripts(day, &settings, &headend, &stage.directors);
+    let scripts = scripts(day, &settings, &headend, &stage.directors, &found);
     let total = scripts.len();
     let mut viewers = JoinSet::new();
     let mut shown = begun;
@@ -127,6 +178,7 @@
     while let Some(caused) = troubles.join_next().await {
         caused.map_err(|e| e.to_string())??;
     }
+    let started = net.as_ref().map_or(Vec::new(), |net| net.finish());
     let drain = settings.front.drain + Duration::from_secs(2);
     let ended_well = stage.directors.stop(drain).await;
     let orphans = settle(&stage.fleet).await;
@@ -135,7 +187,8 @@
     if !quiet {
         println!("{total} viewers in {:.1} s", begun.elapsed().as_secs_f64());
     }
-    Ok(Played { verdict, media, orphans, orphaned, times: times(&log), memory: memory.text(), ended_well })
+    let (times, memory) = (times(&log), memory.text());
+    Ok(Played { verdict, media, orphans, orphaned, times, memory, ended_well, started })
 }
 
 /// Resident memory of the first director, once a second.
@@ -221,6 +274,7 @@
         fall_span: 0.0,
         ration: None,
         slack: 0.0,
+        shared: None,
     };
     Log::create(&out.join("traffic.jsonl"), &empty).map_err(|e| e.to_string())
 }
@@ -259,7 +313,7 @@
             let zone = Zone((i % settings.names.zones.len()) as u8);
             let place = Place { zone, model: Model(model as u8), cell: Cell(cell), weight, started: None };
             let address: SocketAddr = ([127, 0, 0, 1], 0).into();
-            entries.push(Entry { name, address, http: None, place, standing: Standing::Ready });
+            entries.push(Entry { name, address, http: None, id: None, place, standing: Standing::Ready });
         }
     }
     (specs, entries)
@@ -303,6 +357,36 @@
         fall_span: head.fall_span.as_ms(),
         ration: head.ration.map(|r| (r.free, r.per_session, r.span.as_ms())),
         slack: day.slack_ms.unwrap_or(60.0),
+        shared: shared(settings),
+    }
+}
+
+/// What directors share, for the judge.
+fn shared(settings: &Settings) -> Option<judge::Shared> {
+    let terms = ashglade_talk::terms(settings)?;
+    let council = |home| terms.council(home).into_iter().map(|director| director as u16).collect();
+    let repeats = settings.talk.as_ref()?.share.as_ref()?.repeats;
+    Some(judge::Shared {
+        lease: terms.lease.as_ms(),
+        drift: terms.drift,
+        rest: terms.rest.as_ms(),
+        under_way: ashglade_talk::under_way(settings).as_ms(),
+        councils: (0..terms.directors()).map(council).collect(),
+        repeats: repeats.map(|repeats| judge::Repeats {
+            at_node: repeats.at_node,
+            kept: repeats.kept,
+            span: repeats.span.as_ms(),
+            pool: ashglade_talk::REPEATS as u8,
+        }),
+    })
+}
+
+/// The parties of a day, for the names in its faults.
+pub fn parties(day: &Day) -> Parties {
+    Parties {
+        zones: day.headend.as_ref().map_or_else(Vec::new, |headend| headend.zone.clone()),
+        directors: day.directors.unwrap_or(1) as u16,
+        nodes: day.nodes.iter().filter_map(|nodes| nodes.count).sum::<u32>() as usize,
     }
 }
 
@@ -312,15 +396,16 @@
     settings: &Settings,
     headend: &ashglade_settings::schema::headend::Headend,
     directors: &Directors,
+    found: &[(u16, SocketAddr)],
 ) -> Vec<(Duration, Script)> {
     let titles: Vec<&String> = headend.title.iter().filter_map(|t| t.name.as_ref()).collect();
     let script = |(id, visit): (u64, Visit)| {
         let title = titles.get(visit.title).map_or_else(String::new, |title| title.to_string());
-        let addresses = visit.directors.iter().filter_map(|&d| directors.all.get(usize::from(d)));
+        let addresses = visit.directors.iter().filter_map(|&d| found.get(usize::from(d)));
         let http = || visit.directors.iter().map(|&d| (d, directors.http(d))).collect();
         let script = Script {
             id,
-            directors: addresses.map(|&(n, address, _)| (n, address)).collect(),
+            directors: addresses.copied().collect(),
             hls: visit.hls.then(http),
             group: settings.group_names[visit.group].clone(),
             tracks: settings.titles.get(&title).map_or(1, |t| t.tracks),
--- a/crates/roster/src/lib.rs
+++ b/crates/roster/src/lib.rs
@@ -28,21 +28,28 @@
     /// Where it serves HLS, if it does.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub http: Option<SocketAddr>,
+    /// Tells the node where directors reach it by different addresses; its address does if left out.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub id: Option<String>,
     pub place: Place,
     pub standing: Standing,
 }
 
 impl Entry {
     pub fn node(&self) -> Node {
-        id_of(&self.address)
+        self.id.as_ref().map_or_else(|| id_of(&self.address), |id| hash(id))
     }
 }
 
 /// A media node's id: the same at every director and after a restart, as directors that take turns at a cold
 /// node must agree on it. Keyed by nothing, so that it also is the same from one release to the next.
 pub fn id_of(address: &SocketAddr) -> Node {
+    hash(&address.to_string())
+}
+
+fn hash(text: &str) -> Node {
     let mut hasher = siphasher::sip::SipHasher13::new();
-    hasher.write(address.to_string().as_bytes());
+    hasher.write(text.as_bytes());
     Node(hasher.finish())
 }
 
--- a/crates/roster/src/tests.rs
+++ b/crates/roster/src/tests.rs
@@ -5,7 +5,14 @@
 
 fn entry(n: u16, standing: Standing) -> Entry {
     let place = Place { zone: Zone(0), model: Model(0), cell: Cell(n), weight: 1.0, started: None };
-    Entry { name: format!("n{n}"), address: ([127, 0, 0, 1], 9000 + n).into(), http: None, place, standing }
+    Entry {
+        name: format!("n{n}"),
+        address: ([127, 0, 0, 1], 9000 + n).into(),
+        http: None,
+        id: None,
+        place,
+        standing,
+    }
 }
 
 fn offer(roster: &mut Roster, generation: u64, entries: Vec<Entry>) -> String {
--- a/crates/roster/src/watch_test.rs
+++ b/crates/roster/src/watch_test.rs
@@ -16,6 +16,7 @@
         name: format!("n{n}"),
         address: ([10, 0, (n >> 8) as u8, n as u8], 554).into(),
         http: None,
+        id: None,
         place,
         standing,
     }
--- a/crates/settings/src/boxes.rs
+++ b/crates/settings/src/boxes.rs
@@ -69,7 +69,8 @@
             }
             None => None,
         };
-        entries.push(Entry { name: named(&at, &field("name"), &node.name)?, address, http, place, standing });
+        let name = named(&at, &field("name"), &node.name)?;
+        entries.push(Entry { name, address, http, id: node.id.clone(), place, standing });
     }
     Ok((List { generation, entries }, read.leaves_out.map(|n| n as usize)))
 }
@@ -82,6 +83,7 @@
         let place = &entry.place;
         let started = place.started.map_or(0.0, Instant::as_ms);
         let http = entry.http.map_or_else(String::new, |http| format!(" http: \"{http}\""));
+        let id = entry.id.as_ref().map_or_else(String::new, |id| format!(" id: {id:?}"));
         let standing = match entry.standing {
             Standing::Ready => "READY",
             Standing::Draining => "DRAINING",
@@ -89,7 +91,7 @@
         };
         text += &format!(
             "box {{ name: {:?} address: \"{}\" zone: {:?} model: {:?} cell: {} weight: {} started_ms: {started:.0} \
-             standing: {standing}{http} }}\n",
+             standing: {standing}{http}{id} }}\n",
             entry.name,
             entry.address,
             name(&names.zones, place.zone.0),
--- a/crates/talk/src/lib.rs
+++ b/crates/talk/src/lib.rs
@@ -10,5 +10,5 @@
 
 pub use ashglade_shared::Defect;
 pub use run::{Engine, Started, run};
-pub use terms::terms;
+pub use terms::{REPEATS, terms, under_way};
 pub use view::{Seen, View};
--- a/crates/talk/src/run.rs
+++ b/crates/talk/src/run.rs
@@ -62,7 +62,10 @@
             clock,
             seen,
             most_bytes: share.map_or(f64::INFINITY, |share| share.bytes_per_s),
-            repeats_span: share.and_then(|share| share.repeats.as_ref()).map(|repeats| repeats.span),
+            repeats_span: share.and_then(|share| share.repeats.as_ref()).map(|repeats| {
+                // Counted here from decisions, and at nodes from what arrives.
+                repeats.span + crate::under_way(settings)
+            }),
             view,
         })
     }
--- a/crates/talk/src/terms.rs
+++ b/crates/talk/src/terms.rs
@@ -13,9 +13,16 @@
 /// The pools, in their order.
 pub const TURNS: usize = 0;
 pub const REPEATS: usize = 1;
+/// What tasks may wait for each other between a decision and its first byte, beyond the connection: under [`EARLY`].
+pub const LATE: f64 = 0.2;
 /// Spread stands still where nothing but turns is shared.
 const NEVER: f64 = 1e9;
 
+/// What passes at most between a decision and the first byte of its SETUP; later, it isn't written.
+pub fn under_way(settings: &Settings) -> Span {
+    Span::from_secs(settings.front.connect_timeout.as_secs_f64() + LATE)
+}
+
 /// What this director shares with the others; none where its settings don't name them.
 pub fn terms(settings: &Settings) -> Option<Terms> {
     let talk = settings.talk.as_ref()?;
@@ -33,7 +40,7 @@
     // Between two holders of a right: the longest span in which nodes count, what a connection and an answer may take on
     // top, and what is given up early.
     let counted = repeats.map_or(Span::ZERO, |repeats| repeats.span).max(headend.fall_span);
-    let rest = counted + seconds(settings.front.connect_timeout) + seconds(LOOK) + Span::from_secs(EARLY);
+    let rest = counted + under_way(settings) + seconds(LOOK) + Span::from_secs(EARLY);
     let never = Span::from_secs(NEVER);
     Some(Terms {
         me: headend.me,
