Judge: traces that break the fleet's rules one by one, and what is given up on the wire

Need: a judge that can't fail proves nothing. Each of the three rules on shared bounds has made traffic that breaks it and the same without the breach, as the six have; so has a SETUP given up before its node could hear of it, and a director that is down until it runs again.

--- a/crates/judge/src/tests.rs
+++ b/crates/judge/src/tests.rs
@@ -30,6 +30,7 @@
         fall_span: 1000.0,
         ration: Some((1.0, 0.5, 10_000.0)),
         slack: 20.0,
+        shared: None,
     }
 }
 
@@ -70,6 +71,21 @@
             "ready" => What::Listed { director: number() as u16, node: word().to_string(), ready: true },
             "starts" => What::NodeStarted { node: word().to_string() },
             "killed" => What::DirectorKilled { director: number() as u16 },
+            "runs" => What::DirectorStarted { director: number() as u16 },
+            "gives-back" | "wants" | "lends" | "loses" => {
+                let (holder, voter, process, ask) = (number() as u16, number() as u16, 1, number() as u64);
+                match kind {
+                    "wants" => What::RightsAsked { holder, voter, process, ask },
+                    "gives-back" => {
+                        What::RightsBack { holder, voter, process, ask, rights: vec![(1, number() as u32)] }
+                    }
+                    _ => {
+                        let (passed, rights) = (kind == "lends", vec![(1, number() as u32)]);
+                        What::RightsGranted { passed, voter, holder, process, ask, rights }
+                    }
+                }
+            }
+            "withdraws" => What::Withdrawn { viewer: number() as u64, again: 0, node: word().to_string() },
             other => panic!("no such line: {other}"),
         };
         sights.push(Sight { at, what });
@@ -78,7 +94,26 @@
 }
 
 fn shows(script: &str, expected: Expect) {
-    let verdict = judge(&traffic(script));
+    told(&traffic(script), expected);
+}
+
+/// With three directors that share two further SETUPs at a node a second, lent by leases of two seconds.
+fn shared(script: &str, expected: Expect) {
+    let mut traffic = traffic(script);
+    (traffic.plan.slack, traffic.plan.ration) = (20.0, None);
+    traffic.plan.shared = Some(Shared {
+        lease: 2000.0,
+        drift: 0.0,
+        rest: 1500.0,
+        under_way: 300.0,
+        councils: vec![vec![0, 1, 2]; 3],
+        repeats: Some(Repeats { at_node: 2, kept: 0, span: 1000.0, pool: 1 }),
+    });
+    told(&traffic, expected);
+}
+
+fn told(traffic: &Traffic, expected: Expect) {
+    let verdict = judge(traffic);
     let broken = verdict
         .findings
         .iter()
@@ -290,3 +325,134 @@
         .assert_eq(&Traffic::read(&text).unwrap_err().to_string());
     assert!(!judge(&traffic("")).held(), "an empty day proves nothing");
 }
+
+#[test]
+fn a_right_is_lent_to_one_at_a_time() {
+    // By voter 2: again to the same holder, to another too early, and in time.
+    let granted = "100 wants 0 2 1\n 110 lends 0 2 1 5\n 700 lends 0 2 2 5\n";
+    shared(
+        &format!("{granted} 4150 lends 1 2 1 5"),
+        expect![[r#"
+        rule 7 at 4150: director 2 granted right 5 of pool 1 to 1, 50 ms before 0 could be held to have stopped
+    "#]],
+    );
+    shared(
+        &format!("{granted} 4250 lends 1 2 1 5"),
+        expect![[r#"
+        held
+    "#]],
+    );
+    // Given back, the rest is enough; what never passed was granted all the same.
+    shared(
+        &format!("{granted} 900 gives-back 0 2 3 5\n 2450 lends 1 2 1 5"),
+        expect![[r#"
+        held
+    "#]],
+    );
+    shared(
+        &format!("{granted} 900 gives-back 0 2 3 5\n 2300 loses 1 2 1 5"),
+        expect![[r#"
+        rule 7 at 2300: director 2 granted right 5 of pool 1 to 1, 100 ms before 0 could be held to have stopped
+    "#]],
+    );
+    // Another voter's grants are its own.
+    shared(
+        &format!("{granted} 800 lends 1 1 1 5"),
+        expect![[r#"
+        held
+    "#]],
+    );
+}
+
+#[test]
+fn further_setups_of_the_fleet() {
+    let session = |n: u64, at: u64, director: u64| {
+        let (first, second) = (at + 100, at + 200);
+        format!(
+            "{at} ask {n} {director} safe\n {first} setup {n} {n}0 0 n2\n {first} answer {n}0 453 n2\n \
+             {second} setup {n} {n}1 0 n1\n {second} answer {n}1 200 n1\n {second} told {n} 200\n"
+        )
+    };
+    let lent = |holder: u64| {
+        format!(
+            "10 wants {holder} 2 1\n 20 lends {holder} 2 1 {holder}\n 30 wants {holder} 1 1\n 40 lends {holder} 1 1 {holder}\n"
+        )
+    };
+    let all = lent(0) + &lent(1) + &lent(2);
+    // Two by the bound, one by each, then a third in the same second.
+    shared(
+        &(all.clone() + &session(1, 100, 0) + &session(2, 150, 1)),
+        expect![[r#"
+        held
+    "#]],
+    );
+    shared(
+        &(all.clone() + &session(1, 100, 0) + &session(2, 150, 1) + &session(3, 300, 2)),
+        expect![[r#"
+        rule 8 at 500: n1 was sent 3 further SETUPs within the span, 2 allowed
+    "#]],
+    );
+    // Two by one that holds one; one by one whose lease is over, or was never lent to it.
+    shared(
+        &(all.clone() + &session(1, 100, 0) + &session(2, 150, 0)),
+        expect![[r#"
+        rule 9 at 350: director 0 made 2 further SETUPs at n1, by 1 rights
+    "#]],
+    );
+    shared(
+        &(all.clone() + &session(1, 1700, 0)),
+        expect![[r#"
+        held
+    "#]],
+    );
+    shared(
+        &(all.clone() + &session(1, 2300, 0)),
+        expect![[r#"
+        rule 9 at 2500: director 0 made 1 further SETUPs at n1, by 0 rights
+    "#]],
+    );
+    shared(
+        &session(1, 100, 0),
+        expect![[r#"
+        rule 9 at 300: director 0 made 1 further SETUPs at n1, by 0 rights
+    "#]],
+    );
+    shared(
+        &(all.replace("lends", "loses") + &session(1, 100, 0)),
+        expect![[r#"
+        rule 9 at 300: director 0 made 1 further SETUPs at n1, by 0 rights
+    "#]],
+    );
+}
+
+#[test]
+fn given_up_on_the_wire_and_not_running() {
+    // The node hears of the end of the first only later; on the wire it was given up before the second.
+    let asked = "0 ask 1 0 safe\n 100 setup 1 10 0 n1\n";
+    let second = "500 setup 1 11 0 n2\n 510 answer 11 200 n2\n 520 told 1 200\n 3000 close 10 n1\n";
+    shows(
+        &format!("{asked}{second}"),
+        expect![[r#"
+        rule 2 at 500: viewer 1 try 0 has SETUPs out at n1 and n2 at once
+    "#]],
+    );
+    shows(
+        &format!("{asked} 490 withdraws 1 n1\n{second}"),
+        expect![[r#"
+        held
+    "#]],
+    );
+    // Asked of a director that is down, until it runs again.
+    shows(
+        "0 killed 0\n 100 ask 1 0 safe\n 2900 runs 0\n 3200 gives-up 1",
+        expect![[r#"
+        held
+    "#]],
+    );
+    shows(
+        "0 killed 0\n 100 ask 1 0 safe\n 150 runs 0\n 200 ask 2 0 safe\n 3300 gives-up 2",
+        expect![[r#"
+        rule 1 at 3300: viewer 2 try 0 at director 0 was never answered
+    "#]],
+    );
+}
--- a/crates/lab/tests/fleet.rs
+++ b/crates/lab/tests/fleet.rs
@@ -84,7 +84,9 @@
 
 #[test]
 fn a_fault_that_never_started_is_told() {
-    let short = day("share-cut.txtpb").replace("seconds: 10", "seconds: 1");
-    let (held, said) = play(&short, &[]);
-    assert!(!held && said.contains("never started"), "{said}");
+    let day = day("share-cut.txtpb").replace("seconds: 10", "seconds: 1");
+    let kept = day.split("trouble {").next().unwrap();
+    let fault = "fault { when { said: GRANT from: \"director 0\" nth: 100000 } deed: CUT from: \"nodes\" }";
+    let (held, said) = play(&format!("{kept}{fault}"), &[]);
+    assert!(!held && said.contains("fault[0] never started"), "{said}");
 }
