--- a/crates/director/src/lists.rs
+++ b/crates/director/src/lists.rs
@@ -217,7 +217,7 @@
         watcher.watch(folder.path(), notify::RecursiveMode::NonRecursive).unwrap();
         // Each is followed by a change of a name that ends what it brought on.
         let ours = [OsString::from("boxes.txtpb")];
-        let mut concerns_us = |done: &dyn Fn()| {
+        let concerns_us = |done: &dyn Fn()| {
             done();
             std::fs::create_dir(folder.path().join("end")).unwrap();
             let mut any = false;
@@ -225,9 +225,7 @@
                 let event: notify::Event = told.recv_timeout(Duration::from_secs(20)).unwrap().unwrap();
                 if event.paths.iter().any(|path| path.ends_with("end")) && event.kind.is_create() {
                     std::fs::remove_dir(folder.path().join("end")).unwrap();
-                    while told.recv_timeout(Duration::from_secs(20)).unwrap().unwrap().kind.is_remove()
-                        == false
-                    {}
+                    while !told.recv_timeout(Duration::from_secs(20)).unwrap().unwrap().kind.is_remove() {}
                     return any;
                 }
                 any |= concerns(&event, &ours);
--- a/crates/director/tests/hls.rs
+++ b/crates/director/tests/hls.rs
@@ -27,6 +27,7 @@
         fall_span: 1.0,
         ration: None,
         slack: 0.0,
+        shared: None,
     };
     let log = Log::create(&folder.path().join("traffic.jsonl"), &plan).unwrap();
     let spec = |i| Spec { name: format!("n{i}"), rack: 0, places: 50, link, guard: true };
--- a/crates/director/tests/other_client.rs
+++ b/crates/director/tests/other_client.rs
@@ -45,6 +45,7 @@
         fall_span: 1.0,
         ration: None,
         slack: 0.0,
+        shared: None,
     };
     let log = Log::create(&folder.path().join("traffic.jsonl"), &plan).unwrap();
     let spec = Spec { name: "n".into(), rack: 0, places: 50, link: 1000.0, guard: false };
