Judge: a grant for what was given back before, by a voter that stood still, binds nobody

Followed in its traffic: the ask and the giving back both waited in the socket of a voter that was stopped; going on, it granted the ask and took the giving back a moment later, which the judge had seen pass before. The holder counts no grant for what it gave back, so nothing was held twice. Ruled out: the director lending early; its next grant came after the rest. The judge now goes by the number of the ask, with a trace.

--- a/crates/judge/src/shared.rs
+++ b/crates/judge/src/shared.rs
@@ -25,13 +25,17 @@
     let mut broken = Vec::new();
     // By voter and right: to whom it was granted last, and until when nobody else may get it.
     let mut granted: BTreeMap<(u16, (u8, u32)), (u16, f64)> = BTreeMap::new();
+    // By holder, its process and right: the last ask that it gave back. A grant for one up to that, by a voter that stood
+    // still meanwhile, gives it nothing.
+    let mut void: BTreeMap<(u16, u64, (u8, u32)), u64> = BTreeMap::new();
     let (mut count, mut passed_on) = (0, 0);
     for sight in sights {
         match &sight.what {
-            What::RightsGranted { voter, holder, rights, .. } => {
+            What::RightsGranted { voter, holder, process, ask, rights, .. } => {
                 for &right in rights {
                     count += 1;
-                    let new = (*holder, sight.at + terms.lease + terms.rest);
+                    let is_void = void.get(&(*holder, *process, right)).is_some_and(|void| ask <= void);
+                    let new = (*holder, sight.at + terms.rest + if is_void { 0.0 } else { terms.lease });
                     if let Some((before, until)) = granted.insert((*voter, right), new)
                         && before != *holder
                     {
@@ -48,8 +52,9 @@
                     }
                 }
             }
-            What::RightsBack { holder, voter, rights, .. } => {
+            What::RightsBack { holder, voter, process, ask, rights } => {
                 for &right in rights {
+                    void.insert((*holder, *process, right), *ask);
                     if let Some((to, until)) = granted.get_mut(&(*voter, right))
                         && to == holder
                     {
--- a/crates/judge/src/tests.rs
+++ b/crates/judge/src/tests.rs
@@ -355,6 +355,19 @@
         rule 7 at 2300: director 2 granted right 5 of pool 1 to 1, 100 ms before 0 could be held to have stopped
     "#]],
     );
+    // Granted by a voter that stood still since it was asked: given back in the meantime, it was nobody's.
+    shared(
+        "100 wants 0 2 1\n 900 gives-back 0 2 1 5\n 2000 lends 0 2 1 5\n 3550 lends 1 2 1 5",
+        expect![[r#"
+        held
+    "#]],
+    );
+    shared(
+        "100 wants 0 2 1\n 900 gives-back 0 2 1 5\n 2000 lends 0 2 2 5\n 3550 lends 1 2 1 5",
+        expect![[r#"
+        rule 7 at 3550: director 2 granted right 5 of pool 1 to 1, 1950 ms before 0 could be held to have stopped
+    "#]],
+    );
     // Another voter's grants are its own.
     shared(
         &format!("{granted} 800 lends 1 1 1 5"),
