--- a/crates/judge/src/shared.rs
+++ b/crates/judge/src/shared.rs
@@ -12,6 +12,8 @@
 pub fn judge(terms: &Shared, slack: f64, mut further: Vec<Further>, sights: &[Sight]) -> Vec<Finding> {
     further.sort_by(|a, b| a.0.total_cmp(&b.0));
     let mut findings = vec![lent_once(terms, slack, sights)];
+    // What nodes read they read late while the machine stood still.
+    let slack = slack + terms.stalled;
     if let Some(repeats) = terms.repeats {
         findings.push(within(repeats, slack, &further));
         findings.push(by_right(terms, repeats, slack, &further, sights));
@@ -28,14 +30,21 @@
     // By holder, its process and right: the last ask that it gave back. A grant for one up to that, by a voter that stood
     // still meanwhile, gives it nothing.
     let mut void: BTreeMap<(u16, u64, (u8, u32)), u64> = BTreeMap::new();
+    let mut asked: BTreeMap<(u16, u16, u64, u64), f64> = BTreeMap::new();
     let (mut count, mut passed_on) = (0, 0);
     for sight in sights {
         match &sight.what {
+            What::RightsAsked { holder, voter, process, ask } => {
+                asked.insert((*holder, *voter, *process, *ask), sight.at);
+            }
             What::RightsGranted { voter, holder, process, ask, rights, .. } => {
+                // It was granted after the ask had passed here, and before the grant did: however late either was seen, what
+                // is found by these two is so.
+                let Some(&from) = asked.get(&(*holder, *voter, *process, *ask)) else { continue };
                 for &right in rights {
                     count += 1;
                     let is_void = void.get(&(*holder, *process, right)).is_some_and(|void| ask <= void);
-                    let new = (*holder, sight.at + terms.rest + if is_void { 0.0 } else { terms.lease });
+                    let new = (*holder, from + terms.rest + if is_void { 0.0 } else { terms.lease });
                     if let Some((before, until)) = granted.insert((*voter, right), new)
                         && before != *holder
                     {
--- a/crates/judge/src/sights.rs
+++ b/crates/judge/src/sights.rs
@@ -68,6 +68,8 @@
     pub rest: f64,
     /// What a holder may take from a decision to its SETUP at the node.
     pub under_way: f64,
+    /// For how long the machine that all ran on stood still at a time, as far as was seen.
+    pub stalled: f64,
     /// By home: who votes on its rights.
     pub councils: Vec<Vec<u16>>,
     /// Further SETUPs that one node is sent by all within the span, what each director keeps of them, and their pool.
--- a/crates/lab/src/emulator/mod.rs
+++ b/crates/lab/src/emulator/mod.rs
@@ -5,6 +5,7 @@
 mod nodes;
 mod report;
 mod shells;
+mod talk;
 mod troubles;
 mod world;
 
--- a/crates/lab/src/emulator/report.rs
+++ b/crates/lab/src/emulator/report.rs
@@ -64,6 +64,11 @@
     pub service: f64,
     pub peak_returned: u64,
     pub mean_returned: f64,
+    /// When SETUPs failed at once, in seconds.
+    pub failed_at: Vec<f64>,
+    /// Datagrams and bytes that directors said to each other, and the words that the fullest of them held of nodes.
+    pub said: (u64, u64),
+    pub words: usize,
 }
 
 /// Jain's index: 1 if all are alike, 1 over their number if one has all.
@@ -115,6 +120,18 @@
             directors.len(),
             jain(&directors)
         )?;
+        if self.said.0 > 0 {
+            let a_second =
+                self.said.1 as f64 / self.samples.len().max(1) as f64 / directors.len().max(1) as f64;
+            writeln!(
+                f,
+                "said {} datagrams, {a_second:.0} bytes a second by each; {} words held at most",
+                self.said.0, self.words
+            )?;
+        }
+        if !self.failed_at.is_empty() {
+            writeln!(f, "{} SETUPs failed at once", self.failed_at.len())?;
+        }
         match self.broken_rules.len() {
             0 => writeln!(f, "rules held"),
             n => writeln!(f, "{n} breaches of rules, the first: {}", self.broken_rules[0]),
--- a/crates/lab/src/emulator/shells.rs
+++ b/crates/lab/src/emulator/shells.rs
@@ -6,6 +6,7 @@
 use ashglade::interface::Ending;
 use ashglade_engine::{Answer, Effect, Engine, Input, Start};
 
+use super::talk::Talker;
 use super::world::{Event, World};
 
 /// A session at a director.
@@ -28,6 +29,8 @@
 pub struct Shell {
     start: Start,
     pub engine: Option<Engine>,
+    /// What it shares with the others, if it does.
+    pub talker: Option<Talker>,
     /// Counts the director's processes.
     pub life: u32,
     pub inbox: Vec<Input>,
@@ -41,10 +44,11 @@
 }
 
 impl Shell {
-    pub fn new(start: Start) -> Shell {
+    pub fn new(start: Start, talker: Option<Talker>) -> Shell {
         Shell {
             start,
             engine: None,
+            talker,
             life: 0,
             inbox: Vec::new(),
             round_at: None,
@@ -58,6 +62,9 @@
     pub fn up(&mut self, now: ashglade::time::Instant) {
         self.life += 1;
         self.engine = Some(Engine::start(self.start.clone(), now));
+        if let Some(talker) = &mut self.talker {
+            talker.up(now);
+        }
         self.round_at = None;
     }
 
@@ -87,6 +94,9 @@
         shell.free_at = self.now;
         let life = shell.life;
         self.reach(director as u16, life, Input::List(list));
+        if self.shells[director].talker.is_some() {
+            self.plan(0.0, Event::Talks { director: director as u16, life });
+        }
     }
 
     pub(super) fn director_down(&mut self, director: usize) {
@@ -137,6 +147,9 @@
             })
             .collect();
         let effects = engine.round(now, inputs);
+        if let Some(talker) = &mut shell.talker {
+            talker.saw(engine.seen(), now);
+        }
         let due = engine.next_due();
         for (_, seat) in broken {
             self.plan(self.net, Event::Breaks { viewer: seat.viewer, again: seat.again });
--- a/crates/lab/src/emulator/world.rs
+++ b/crates/lab/src/emulator/world.rs
@@ -9,11 +9,13 @@
 use ashglade_engine::{Answer, Input};
 use ashglade_roster::{Entry, List, Standing};
 use ashglade_settings::{Settings, Title};
+use ashglade_shared::Word;
 
 use super::crowd::Viewer;
 use super::nodes::{Fleet, Handled, Key};
 use super::report::{Report, Sample};
 use super::shells::Shell;
+use super::talk::{self, Talker};
 use super::troubles::{self, Change, Sizes};
 use crate::day::Day;
 use crate::{directors, play, visits};
@@ -84,6 +86,13 @@
         rung: u8,
     },
     Change(Change),
+    /// A director looks at what it shares.
+    Talks {
+        director: u16,
+        life: u32,
+    },
+    /// What one says to another comes there.
+    Said(Word),
     /// Lists are told.
     Listed {
         nodes: Vec<usize>,
@@ -130,6 +139,8 @@
     pub titles: Vec<Title>,
     pub net: f64,
     pub shells: Vec<Shell>,
+    /// What is wrong between directors.
+    pub cuts: talk::Cuts,
     pub fleet: Fleet,
     pub node_of: BTreeMap<Node, usize>,
     pub list: List,
@@ -151,6 +162,9 @@
 
 /// Plays the whole day; `door` off leaves the settings' door out.
 pub fn run(day: &Day, door: bool) -> Result<Report, String> {
+    if let Some(at) = day.fault.iter().position(|fault| !talk::can_be_emulated(fault)) {
+        return Err(format!("fault[{at}]: only CUT and LOSS at times, between directors, are emulated"));
+    }
     let mut world = World::new(day, door)?;
     world.begin(day);
     while !world.over
@@ -169,10 +183,12 @@
         let mut starts = Vec::new();
         let mut first = None;
         for number in 0..count {
-            let text = directors::headend(day, number, "127.0.0.1:554", "127.0.0.1:80", None)?;
+            // Nothing is ever sent there.
+            let peers = (0..count).map(|peer| format!("127.0.0.1:{}", 1000 + peer)).collect();
+            let text = directors::headend(day, number, "127.0.0.1:554", "127.0.0.1:80", Some(peers))?;
             let mut settings = ashglade_settings::settings("headend", &text).map_err(|e| e.to_string())?;
             settings.door = settings.door.filter(|_| door);
-            starts.push(ashglade_director::replay_start(&settings));
+            starts.push((ashglade_director::replay_start(&settings), Talker::new(&settings)));
             first.get_or_insert(settings);
         }
         let settings = first.ok_or("a day needs a director")?;
@@ -202,7 +218,8 @@
             planned: 0,
             titles,
             net: day.network_ms.unwrap_or(0.3) / 1e3,
-            shells: starts.into_iter().map(Shell::new).collect(),
+            shells: starts.into_iter().map(|(start, talker)| Shell::new(start, talker)).collect(),
+            cuts: talk::Cuts::of(day),
             fleet: Fleet::new(specs, uplinks, ladder, cold, seed),
             node_of: entries.iter().enumerate().map(|(i, entry)| (entry.node(), i)).collect(),
             list: List { generation: 1, entries },
@@ -317,6 +334,8 @@
             Event::Over { key, node } => drop(self.fleet.end(node, key)),
             Event::Switch { key, node, rung } => self.fleet.rung(node, key, rung),
             Event::Change(change) => self.change(change),
+            Event::Talks { director, life } => self.talks(director, life),
+            Event::Said(word) => self.said(&word),
             Event::Listed { nodes, standing, started } => self.listed(&nodes, standing, started),
             Event::Second => self.second(),
         }
@@ -355,7 +374,10 @@
             }
             Handled::Unheard => return,
             Handled::Full => Input::Ended { sess, setup, how: ashglade::interface::Ending::Full, load },
-            Handled::Fault => Input::Ended { sess, setup, how: ashglade::interface::Ending::Fault, load },
+            Handled::Fault => {
+                self.report.failed_at.push(self.secs());
+                Input::Ended { sess, setup, how: ashglade::interface::Ending::Fault, load }
+            }
             Handled::Reset => {
                 Input::Ended { sess, setup, how: ashglade::interface::Ending::Lost, load: None }
             }
--- a/crates/lab/src/play.rs
+++ b/crates/lab/src/play.rs
@@ -147,6 +147,7 @@
     });
 
     let begun = Instant::now();
+    let stalls = Stalls::watch();
     if let Some(net) = &net {
         net.begin(stage.directors.clone(), &day.fault, begun);
     }
@@ -183,6 +184,10 @@
     let ended_well = stage.directors.stop(drain).await;
     let orphans = settle(&stage.fleet).await;
     let orphaned = stage.fleet.nodes.iter().map(|node| node.orphaned().as_secs_f64()).sum();
+    let mut plan = plan;
+    if let Some(shared) = &mut plan.shared {
+        shared.stalled = stalls.longest_ms();
+    }
     let verdict = judged(&plan, &log);
     if !quiet {
         println!("{total} viewers in {:.1} s", begun.elapsed().as_secs_f64());
@@ -191,6 +196,31 @@
     Ok(Played { verdict, media, orphans, orphaned, times, memory, ended_well, started })
 }
 
+/// For how long this process got no turn at a time: what is seen then is seen late by so much.
+struct Stalls(Arc<std::sync::atomic::AtomicU64>, tokio::task::JoinHandle<()>);
+
+impl Stalls {
+    fn watch() -> Stalls {
+        let longest = Arc::new(std::sync::atomic::AtomicU64::new(0));
+        let seen = longest.clone();
+        let watch = tokio::spawn(async move {
+            let step = Duration::from_millis(5);
+            loop {
+                let from = Instant::now();
+                tokio::time::sleep(step).await;
+                let late = from.elapsed().saturating_sub(step).as_millis() as u64;
+                seen.fetch_max(late, std::sync::atomic::Ordering::Relaxed);
+            }
+        });
+        Stalls(longest, watch)
+    }
+
+    fn longest_ms(&self) -> f64 {
+        self.1.abort();
+        self.0.load(std::sync::atomic::Ordering::Relaxed) as f64
+    }
+}
+
 /// Resident memory of the first director, once a second.
 #[derive(Default)]
 struct Memory(Vec<(u64, f64)>);
@@ -371,6 +401,7 @@
         drift: terms.drift,
         rest: terms.rest.as_ms(),
         under_way: ashglade_talk::under_way(settings).as_ms(),
+        stalled: 0.0,
         councils: (0..terms.directors()).map(council).collect(),
         repeats: repeats.map(|repeats| judge::Repeats {
             at_node: repeats.at_node,
--- a/crates/talk/src/lib.rs
+++ b/crates/talk/src/lib.rs
@@ -5,10 +5,12 @@
 pub mod codec;
 pub mod guard;
 mod run;
+mod teller;
 mod terms;
 mod view;
 
 pub use ashglade_shared::Defect;
 pub use run::{Engine, Started, run};
-pub use terms::{REPEATS, terms, under_way};
+pub use teller::Teller;
+pub use terms::{LOOK, REPEATS, repeats_span, terms, under_way};
 pub use view::{Seen, View};
--- a/crates/talk/src/run.rs
+++ b/crates/talk/src/run.rs
@@ -3,12 +3,10 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 
-use ashglade::ids::Node;
 use ashglade::time::{Instant, Span};
 use ashglade_clock::Clock;
-use ashglade_engine::{Input, Lapse, Seen as Outcome};
+use ashglade_engine::{Input, Seen as Outcome};
 use ashglade_settings::Settings;
-use ashglade_shared::rights::Held;
 use ashglade_shared::{Member, Pool, Terms, Word, verdict};
 use tokio::net::UdpSocket;
 use tokio::sync::mpsc;
@@ -16,7 +14,8 @@
 
 use crate::codec::{Codec, Datagram, MOST, Passed};
 use crate::guard::Guard;
-use crate::terms::{EARLY, LOOK, REPEATS, TURNS};
+use crate::teller::Teller;
+use crate::terms::{LOOK, REPEATS};
 use crate::view::{Seen, View};
 
 /// The engine, as far as it is told what is shared.
@@ -62,10 +61,7 @@
             clock,
             seen,
             most_bytes: share.map_or(f64::INFINITY, |share| share.bytes_per_s),
-            repeats_span: share.and_then(|share| share.repeats.as_ref()).map(|repeats| {
-                // Counted here from decisions, and at nodes from what arrives.
-                repeats.span + crate::under_way(settings)
-            }),
+            repeats_span: crate::terms::repeats_span(settings),
             view,
         })
     }
@@ -83,10 +79,7 @@
     filled: Instant,
     shown: Instant,
     view: View,
-    /// What the engine was last told.
-    turns: (Vec<usize>, Option<Lapse>),
-    repeats: Option<(usize, Option<Lapse>)>,
-    last: Vec<Node>,
+    teller: Teller,
 }
 
 /// Talks for as long as the director runs, and tells the engine what of it concerns decisions.
@@ -105,9 +98,7 @@
         filled: now,
         shown: now,
         view: View { director: me, directors, heard: vec![me], ..View::default() },
-        turns: (Vec::new(), None),
-        repeats: None,
-        last: Vec::new(),
+        teller: Teller::new(with.repeats_span),
         with,
     };
     let mut bytes = vec![0; MOST + 1];
@@ -196,40 +187,23 @@
     /// Tells the engine what changed of what is held and believed.
     async fn tell(&mut self) {
         let now = self.with.clock.now();
-        let early = Span::from_secs(EARLY);
-        let view = self.member.view(now, early);
-        let directors = self.with.terms.directors();
-        let pool =
-            |pool: usize| (view.held.get(pool).cloned().unwrap_or_default(), self.with.terms.pools.get(pool));
-        let (held, terms) = pool(TURNS);
-        let lapse = lapse(&held, terms, early);
-        if news(&self.turns.0, &self.turns.1, &held.rights, &lapse) {
-            self.turns = (held.rights.clone(), lapse);
-            self.engine.tell(Input::Turns { ours: held.rights, of: directors * 2, lapse }).await;
-        }
-        let (held, terms) = pool(REPEATS);
-        if let (Some(pool), Some(span)) = (terms, self.with.repeats_span) {
-            let (most, lapse) = (held.rights.len(), self::lapse(&held, Some(pool), early));
-            let told = self.repeats.as_ref();
-            if told.is_none_or(|(before, until)| news(&[*before], until, &[most], &lapse)) {
-                self.repeats = Some((most, lapse));
-                self.engine.tell(Input::Repeats { most, span, lapse }).await;
+        let (view, news) = self.teller.look(&self.member, &self.with.terms, now);
+        for input in news {
+            if matches!(input, Input::Doubted { .. }) {
+                info!(nodes = ?view.left, "nodes that are tried last, by who finds them failing");
             }
-            self.view.repeats = Some((most, pool.kept * directors + pool.lent));
-        }
-        let last: Vec<Node> = view.left.keys().map(|&node| Node(node)).collect();
-        if last != self.last {
-            info!(nodes = ?view.left, "nodes that are tried last, by who finds them failing");
-            self.last = last.clone();
-            self.engine.tell(Input::Doubted { nodes: last }).await;
+            self.engine.tell(input).await;
         }
         let heard: Vec<usize> = view.heard.into_iter().collect();
         if heard != self.view.heard {
             info!(directors = ?heard, "directors that are heard of");
             self.view.heard = heard;
         }
+        let of = |pool: &Pool| pool.kept * self.with.terms.directors() + pool.lent;
+        let all = self.with.terms.pools.get(REPEATS).map(of);
+        self.view.repeats = self.teller.repeats().zip(all);
         self.view.last = view.left.into_iter().map(|(node, by)| (format!("{node:016x}"), by)).collect();
-        self.view.turns.clone_from(&self.turns.0);
+        self.view.turns = self.teller.turns().to_vec();
     }
 
     /// Writes the view, once a second, where one is wanted.
@@ -256,17 +230,3 @@
         }
     }
 }
-
-/// When what is lent runs out, if anything is, and what is kept then.
-fn lapse(held: &Held, pool: Option<&Pool>, early: Span) -> Option<Lapse> {
-    Some(Lapse { at: held.until? - early, kept: pool?.kept })
-}
-
-/// The engine is told anew when rights change, and when a lease was renewed for a good while.
-fn news(before: &[usize], until: &Option<Lapse>, now: &[usize], new: &Option<Lapse>) -> bool {
-    let later = match (until, new) {
-        (Some(before), Some(new)) => new.at - before.at > Span::from_ms(LOOK.as_secs_f64() * 1e3),
-        (before, new) => before.is_some() != new.is_some(),
-    };
-    before != now || later
-}
--- a/crates/talk/src/terms.rs
+++ b/crates/talk/src/terms.rs
@@ -23,6 +23,12 @@
     Span::from_secs(settings.front.connect_timeout.as_secs_f64() + LATE)
 }
 
+/// The span in which a director counts its further SETUPs at a node: from decisions, where the node counts what arrives.
+pub fn repeats_span(settings: &Settings) -> Option<Span> {
+    let repeats = settings.talk.as_ref()?.share.as_ref()?.repeats?;
+    Some(repeats.span + under_way(settings))
+}
+
 /// What this director shares with the others; none where its settings don't name them.
 pub fn terms(settings: &Settings) -> Option<Terms> {
     let talk = settings.talk.as_ref()?;
