--- a/crates/site/src/lib.rs
+++ b/crates/site/src/lib.rs
@@ -101,6 +101,9 @@
 struct Limits {
     #[serde(default)]
     cancelling: bool,
+    /// Directors may send each other messages.
+    #[serde(default)]
+    may_tell: bool,
     #[serde(default)]
     max_retry_after: From0,
     most_tries: Whole<1>,
@@ -186,6 +189,8 @@
     pub names: Names,
     /// By service group: the longest time that a viewer waits for an answer, where told.
     pub setup_timeouts: Vec<Option<Span>>,
+    /// Directors may send each other messages.
+    pub may_tell: bool,
     /// SETUPs on one connection at once, where told.
     pub streams: Option<usize>,
     /// A connection that isn't up by then doesn't come up.
@@ -225,6 +230,7 @@
     Ok(Site {
         headend: headend(seed, &conf),
         setup_timeouts: conf.services.iter().map(|s| s.deadline.map(|d| Span::from_ms(d.get()))).collect(),
+        may_tell: limits.may_tell,
         streams: limits.max_streams.map(|most| most.get()),
         dial_timeout: Span::from_ms(limits.dial_timeout.map_or(DIAL_TIMEOUT_MS, Above0::get)),
         names: Names {
--- a/crates/wirehost/src/host.rs
+++ b/crates/wirehost/src/host.rs
@@ -9,6 +9,7 @@
 use ashglade::time::{Instant, Span};
 
 use crate::frames::{ENTRY, Fields, HEADER, Reply, Trouble};
+use crate::share::Share;
 
 /// Bytes of a message between directors, at most.
 const MOST_TOLD: usize = 256;
@@ -16,6 +17,9 @@
 #[derive(Default)]
 pub struct Host {
     directors: BTreeMap<u16, Director>,
+    /// Directors tell each other what they find of nodes, where the site allows messages.
+    shares: bool,
+    sharing: BTreeMap<u16, Share>,
     /// Lists of nodes by number, each as the entries' bytes; they outlive the batch.
     pools: BTreeMap<u8, Vec<u8>>,
 }
@@ -34,6 +38,10 @@
 }
 
 impl Host {
+    pub fn new(shares: bool) -> Host {
+        Host { shares, ..Host::default() }
+    }
+
     /// Handles one batch; the reply holds the whole frame, or nothing of it after an error.
     pub fn answer(&mut self, frame: &[u8], reply: &mut Vec<u8>) -> Result<(), Trouble> {
         let mut head = Fields::new(frame, 0);
@@ -56,15 +64,34 @@
                     let site =
                         ashglade_site::read(seed, fields.text()?).map_err(|what| Trouble::new(from, what))?;
                     self.directors.insert(instance, Director::start(&site.headend, now));
+                    self.sharing.remove(&instance);
+                    if self.shares && site.may_tell && site.headend.directors > 1 {
+                        self.sharing.insert(instance, Share::start(&site.headend, now));
+                    }
+                }
+                Turn::Ends => {
+                    self.directors.remove(&instance);
+                    self.sharing.remove(&instance);
                 }
-                Turn::Ends => drop(self.directors.remove(&instance)),
                 Turn::News(news) => {
                     let director = self.directors.get_mut(&instance);
                     let at = news.first().map_or(HEADER, |n| n.at) as u64;
                     let director = director.ok_or_else(|| {
                         Trouble::new(at, format!("news for instance {instance}, which is not open"))
                     })?;
-                    let told = |round: &mut Round| news.iter().try_for_each(|n| tell(round, frame, n));
+                    let mut share = self.sharing.get_mut(&instance);
+                    if let Some(share) = &mut share {
+                        for news in &news {
+                            heard(share, frame, news.at, now)?;
+                        }
+                        share.look(now);
+                    }
+                    let told = |round: &mut Round| {
+                        if let Some(nodes) = share.as_mut().and_then(|share| share.news()) {
+                            round.doubted(&nodes);
+                        }
+                        news.iter().try_for_each(|n| tell(round, frame, n))
+                    };
                     match catch_unwind(AssertUnwindSafe(|| director.round(now, told, &mut answers))) {
                         Ok(told) => told?,
                         Err(cause) => {
@@ -72,6 +99,9 @@
                             answers.failed(cause.unwrap_or("the decision code failed"));
                         }
                     }
+                    if let Some(share) = self.sharing.get_mut(&instance) {
+                        share.say(now, |to, message| answers.tell(Some(to), message));
+                    }
                 }
             }
         }
@@ -170,11 +200,35 @@
     Ok(None)
 }
 
+/// What of a piece of news concerns what is shared.
+fn heard(share: &mut Share, frame: &[u8], at: usize, now: Instant) -> Result<(), Trouble> {
+    let mut f = Fields::new(frame, at);
+    match f.u8()? {
+        1 => {
+            let (author, length) = (f.u16()?, f.u16()?);
+            share.take(author, f.take(length.into())?, now);
+        }
+        4 => {
+            let (sess, _, node) = (Sess(f.u64()?), f.u16()?, f.node()?);
+            if let Some(ending) = ending(f.u16()?) {
+                share.ended(sess, node, ending, now);
+            }
+        }
+        6 => {
+            let (sess, _) = (Sess(f.u64()?), f.u16()?);
+            f.f64()?;
+            share.started(sess, f.node()?, now);
+        }
+        _ => {}
+    }
+    Ok(())
+}
+
 /// Tells a director one piece of news.
 fn tell(round: &mut Round, frame: &[u8], news: &News) -> Result<(), Trouble> {
     let mut f = Fields::new(frame, news.at);
     match f.u8()? {
-        1 => {} // messages between directors: none are sent
+        1 => {} // messages between directors: `heard`
         2 => {
             f.take(9)?;
             let at = f.at() as u64;
--- /dev/null
+++ b/crates/wirehost/src/share.rs
@@ -0,0 +1,105 @@
+//! What directors tell each other on the simulator's wire: the same state as in service, in messages of 256 bytes at most.
+//! Rights aren't lent here: asking for them would cost more than a site's price for messages leaves.
+
+use std::collections::{BTreeSet, VecDeque};
+
+use ashglade::ids::{Node, Sess};
+use ashglade::interface::{Ending, Headend};
+use ashglade::time::{Instant, Span};
+use ashglade_shared::spread::Message;
+use ashglade_shared::{Body, Member, Terms, Verdict, Word, verdict};
+
+const MOST: usize = 256;
+/// For how long a word is believed, and between messages, in seconds.
+const FADE: f64 = 5.0;
+const GOSSIP: f64 = 0.5;
+
+pub struct Share {
+    terms: Terms,
+    member: Member,
+    /// Sessions that play: their end is none of a set-up.
+    started: BTreeSet<Sess>,
+    out: VecDeque<Word>,
+    last: Vec<Node>,
+    news: Option<Vec<Node>>,
+}
+
+impl Share {
+    pub fn start(headend: &Headend, now: Instant) -> Share {
+        let secs = Span::from_secs;
+        let terms = Terms {
+            me: headend.me,
+            // The settings tell nobody's zone but our own.
+            zones: vec![0; headend.directors],
+            council: 1,
+            lease: secs(FADE),
+            drift: 0.0,
+            rest: Span::ZERO,
+            pools: Vec::new(),
+            fade: secs(FADE),
+            gossip: secs(GOSSIP),
+            seed: headend.seed,
+            defect: None,
+        };
+        let member = Member::start(terms.clone(), now.as_ms().max(1.0) as u64, now);
+        Share { terms, member, started: BTreeSet::new(), out: VecDeque::new(), last: Vec::new(), news: None }
+    }
+
+    pub fn started(&mut self, sess: Sess, node: Node, now: Instant) {
+        self.started.insert(sess);
+        self.member.saw(node.0, Verdict::Well, now);
+    }
+
+    pub fn ended(&mut self, sess: Sess, node: Node, how: Ending, now: Instant) {
+        if !self.started.remove(&sess)
+            && let Some(verdict) = verdict(Some(how))
+        {
+            self.member.saw(node.0, verdict, now);
+        }
+    }
+
+    /// What is not one of ours is passed over.
+    pub fn take(&mut self, author: u16, message: &[u8], now: Instant) {
+        if let Ok((message, [])) = postcard::take_from_bytes::<Message>(message) {
+            let (to, terms) = (self.terms.me as u16, self.terms.digest());
+            let word = Word { from: author, to, terms, body: Body::Spread(message) };
+            self.out.extend(self.member.take(&word, now));
+        }
+    }
+
+    pub fn look(&mut self, now: Instant) {
+        let last: Vec<Node> = self.member.view(now, Span::ZERO).left.into_keys().map(Node).collect();
+        if last != self.last {
+            self.last.clone_from(&last);
+            self.news = Some(last);
+        }
+    }
+
+    /// Nodes that are tried last, if that changed.
+    pub fn news(&mut self) -> Option<Vec<Node>> {
+        self.news.take()
+    }
+
+    pub fn say(&mut self, now: Instant, mut tell: impl FnMut(u16, &[u8])) {
+        self.out.extend(self.member.tick(now));
+        for word in std::mem::take(&mut self.out) {
+            if let Body::Spread(message) = word.body {
+                say(word.to, &message, &mut tell);
+            }
+        }
+    }
+}
+
+/// In as many messages as it takes.
+fn say(to: u16, message: &Message, tell: &mut impl FnMut(u16, &[u8])) {
+    let Ok(bytes) = postcard::to_allocvec(message) else { return };
+    match message {
+        _ if bytes.len() <= MOST => tell(to, &bytes),
+        Message::Words(words) if words.len() > 1 => {
+            let (one, other) = words.split_at(words.len() / 2);
+            say(to, &Message::Words(one.to_vec()), tell);
+            say(to, &Message::Words(other.to_vec()), tell);
+        }
+        _ => {}
+    }
+}
--- a/crates/wirehost/src/tests.rs
+++ b/crates/wirehost/src/tests.rs
@@ -14,8 +14,12 @@
 const NODE: &[u8] = &[10, 1, 2, 3, 80, 0];
 
 fn frame(index: u32, records: &[Vec<u8>]) -> Vec<u8> {
+    frame_at(5000.0, index, records)
+}
+
+fn frame_at(ms: f64, index: u32, records: &[Vec<u8>]) -> Vec<u8> {
     let body = records.concat();
-    let clock = 5000.0f64.to_le_bytes();
+    let clock = ms.to_le_bytes();
     let [length, count] = [20 + body.len(), records.len()].map(|n| (n as u32).to_le_bytes());
     [&index.to_le_bytes()[..], &clock, &length, &count, &body].concat()
 }
@@ -46,8 +50,12 @@
 
 /// Serves the input and shows the replies and the complaint, if any.
 fn serve(input: &[u8]) -> String {
+    served(input, false)
+}
+
+fn served(input: &[u8], shares: bool) -> String {
     let mut output = Vec::new();
-    let result = crate::serve(&mut &input[..], &mut output);
+    let result = crate::serve(&mut &input[..], &mut output, shares);
     let mut shown = String::new();
     let mut rest = &output[..];
     while let Some(length) = rest.get(4..8).map(|f| u32::from_le_bytes([f[0], f[1], f[2], f[3]]) as usize) {
@@ -162,3 +170,32 @@
         input ends within a batch's header at byte 44 of the input"#]]
     .assert_eq(&complaints.join("\n"));
 }
+
+/// A set-up that ended with an error, for the node of [`pool`].
+fn ended(id: u64) -> Vec<u8> {
+    let head = [&[4][..], &id.to_le_bytes(), &0u16.to_le_bytes(), NODE, &5u16.to_le_bytes()].concat();
+    [&head[..], &10.0f64.to_le_bytes(), &[0, 0]].concat()
+}
+
+/// With `--share`, and where the site allows messages, what failed is told the other; else the frames are as they were.
+#[test]
+fn what_fails_is_told_only_where_it_is_asked_for_and_allowed() {
+    let two = SETTINGS.replace("\"balancers\": 1", "\"balancers\": 2, \"myNumber\": 1");
+    let may = two.replace("\"mostTries\": 2", "\"mostTries\": 2, \"mayTell\": true");
+    let frames = |settings: &str| {
+        let start = vec![select(1), open(settings), pool(0), announce(0), order(77)];
+        [frame(1, &start), frame_at(6000.0, 2, &[select(1), ended(77)])].concat()
+    };
+    let told = |settings: &str, shares| served(&frames(settings), shares);
+    assert_eq!(told(&two, true), told(&two, false));
+    assert_eq!(told(&may, false), told(&two, false));
+    expect![[r#"
+        01000000290000004f010045000000000000000000007940424d000000000000000000000000407f40
+        02000000210000004f010048000011000001018a828898800a818080c413010100
+    "#]]
+    .assert_eq(&told(&may, true));
+    // What another says that is none of ours is passed over.
+    let note = [&[1][..], &0u16.to_le_bytes(), &4u16.to_le_bytes(), b"\xff\xff\xff\xff"].concat();
+    let noted = [frames(&may), frame_at(6001.0, 3, &[select(1), note])].concat();
+    assert!(served(&noted, true).lines().count() == 3, "{}", served(&noted, true));
+}
