Director: its files use each other one way; the engine's task at the bottom, errands at nodes handed up

Need: thirteen files in one circle around serve::Shared, which every task may reach into. Now: files, the words to the engine (orders) and the pool at the bottom; the engine's task, which is given a clock, a path and a channel for errands and no more; what fronts share; connections to nodes; attempts; fronts and errands; starting and stopping on top.

--- a/crates/director/src/attempt.rs
+++ b/crates/director/src/attempt.rs
@@ -17,7 +17,7 @@
 
 use crate::node::NodeSide;
 use crate::pool::Connection;
-use crate::serve::Shared;
+use crate::shared::Shared;
 
 /// How a SETUP ended, with the load that the answer told; where the node accepted it, with what the front holds of it.
 pub type Outcome<T> = Result<(T, Option<Load>), (End, Option<Load>)>;
--- a/crates/director/src/core.rs
+++ b/crates/director/src/core.rs
@@ -3,71 +3,23 @@
 
 use std::collections::HashMap;
 use std::io::Write;
-use std::net::SocketAddr;
-use std::sync::Arc;
+use std::path::PathBuf;
 
-use ashglade::ids::{Node, Rung, Sess, SetupNo};
+use ashglade::ids::{Node, Sess};
 use ashglade::interface::Ending;
 use ashglade::time::Instant;
+use ashglade_clock::Clock;
 use ashglade_engine::record::{Head, Line};
-use ashglade_engine::{Answer, Effect, Engine, Input, Seen, Start, Tally};
-use ashglade_ledger::{Held, Ledger, Outcome, pages};
-use tokio::sync::{mpsc, oneshot, watch};
+use ashglade_engine::{Effect, Engine, Input, Seen, Start};
+use ashglade_ledger::{Ledger, Outcome, pages};
+use tokio::sync::{mpsc, watch};
 use tracing::{debug, info, warn};
 
-use crate::owed;
-use crate::probe;
-use crate::serve::{self, Shared};
+use crate::files;
+use crate::orders::{Command, Errand, Order, Page};
 
-/// Inputs that wait for the engine at most; a full channel slows those who read sockets.
-pub const INPUTS: usize = 4096;
 /// Inputs taken into one round at most.
 const ROUND: usize = 1024;
-/// Orders that wait for a session at most: more than the engine has for one session at once.
-pub const ORDERS: usize = 16;
-
-/// What a session's task is told.
-#[derive(Clone, Copy, Debug)]
-pub enum Order {
-    Setup {
-        setup: SetupNo,
-        node: Node,
-        address: SocketAddr,
-        http: Option<SocketAddr>,
-        rung: Rung,
-        decided: Instant,
-    },
-    Withdraw {
-        setup: SetupNo,
-        if_unsent: bool,
-    },
-    Answer(Answer),
-    Rung(Rung),
-    Release,
-}
-
-pub enum Command {
-    Input(Input),
-    /// A viewer asks for a session; its orders go to this channel from now on.
-    Open {
-        input: Input,
-        sess: Sess,
-        orders: mpsc::Sender<Order>,
-    },
-    /// The session's task needs no more orders.
-    Close(Sess),
-    Tally(oneshot::Sender<(Tally, usize)>),
-    Page(Page),
-}
-
-/// What concerns the ledger of sessions at nodes.
-pub enum Page {
-    Hold(Sess, Held),
-    Ended(Sess),
-    Owe(Sess),
-    Told(Sess, Outcome),
-}
-
 /// The ledger and where it is written.
 pub struct Book {
     pub ledger: Ledger,
@@ -105,54 +57,9 @@
     }
 }
 
-/// How other tasks reach the engine.
-#[derive(Clone)]
-pub struct Core {
-    commands: mpsc::Sender<Command>,
-}
-
-impl Core {
-    pub fn new() -> (Core, mpsc::Receiver<Command>) {
-        let (commands, receiver) = mpsc::channel(INPUTS);
-        (Core { commands }, receiver)
-    }
-
-    pub async fn tell(&self, input: Input) {
-        self.send(Command::Input(input)).await;
-    }
-
-    pub async fn send(&self, command: Command) {
-        // The engine's task ends only with the process.
-        let _ = self.commands.send(command).await;
-    }
-
-    pub async fn tally(&self) -> Option<(Tally, usize)> {
-        let (reply, told) = oneshot::channel();
-        self.send(Command::Tally(reply)).await;
-        told.await.ok()
-    }
-}
-
-impl ashglade_talk::Engine for Core {
-    async fn tell(&self, input: Input) {
-        Core::tell(self, input).await;
-    }
-}
-
-/// The session's task needs no more orders. A SETUP that was ordered and not yet begun never ran.
-pub async fn close(core: &Core, sess: Sess, orders: &mut mpsc::Receiver<Order>) {
-    orders.close();
-    while let Ok(order) = orders.try_recv() {
-        if let Order::Setup { setup, .. } = order {
-            core.tell(Input::Ended { sess, setup, how: Ending::Unsent, load: None }).await;
-        }
-    }
-    core.send(Command::Close(sess)).await;
-}
-
 struct Loop {
     engine: Engine,
-    shared: Arc<Shared>,
+    with: With,
     sessions: HashMap<Sess, mpsc::Sender<Order>>,
     /// What came of the last round's effects at once.
     next: Vec<Input>,
@@ -165,9 +72,18 @@
     unseen: u64,
 }
 
-/// Runs until no task holds a [`Core`] any longer.
+/// What the task needs of the director.
+pub struct With {
+    pub clock: Clock,
+    /// Where the door's view is written.
+    pub door_view: Option<PathBuf>,
+    /// What is to be done at nodes.
+    pub errands: mpsc::Sender<Errand>,
+}
+
+/// Runs until no task holds a [`crate::orders::Core`] any longer.
 pub async fn run(
-    shared: Arc<Shared>,
+    with: With,
     start: Start,
     mut commands: mpsc::Receiver<Command>,
     record: Option<std::fs::File>,
@@ -175,7 +91,7 @@
     drained: watch::Sender<bool>,
     seen: Option<mpsc::Sender<Seen>>,
 ) {
-    let clock = shared.clock;
+    let clock = with.clock;
     let begun = clock.now();
     let mut record = record.map(std::io::BufWriter::new);
     if let Some(file) = &mut record {
@@ -183,7 +99,7 @@
     }
     let engine = Engine::start(start, begun);
     let (sessions, next) = (HashMap::new(), Vec::new());
-    let mut this = Loop { engine, shared, sessions, next, record, book, drained, seen, unseen: 0 };
+    let mut this = Loop { engine, with, sessions, next, record, book, drained, seen, unseen: 0 };
     let mut taken = Vec::with_capacity(ROUND);
     let mut flushed = clock.now();
     loop {
@@ -221,9 +137,9 @@
         if let Some(file) = &mut self.record {
             let _ = file.flush();
         }
-        if let (Some(door), Some(path)) = (self.engine.door(), &self.shared.door_view) {
+        if let (Some(door), Some(path)) = (self.engine.door(), &self.with.door_view) {
             let text = serde_json::to_string(&door.view()).unwrap_or_default();
-            if let Err(error) = serve::replace(path, &text) {
+            if let Err(error) = files::replace(path, &text) {
                 warn!(path = %path.display(), %error, "the view of the door can't be written");
             }
         }
@@ -241,7 +157,7 @@
                 None
             }
             Command::Page(page) => {
-                self.book.take(page, self.shared.clock.now());
+                self.book.take(page, self.with.clock.now());
                 None
             }
             Command::Tally(reply) => {
@@ -258,7 +174,11 @@
         }
         for call in calls {
             debug!(node = %call.held.address, "a tear-down that is owed");
-            tokio::spawn(owed::call(self.shared.clone(), call));
+            let sess = call.sess;
+            if self.with.errands.try_send(Errand::TearDown(call)).is_err() {
+                // It is tried again as one that failed is.
+                self.book.take(Page::Told(sess, Outcome::Failed), now);
+            }
         }
     }
 
@@ -322,9 +242,10 @@
             }
             Effect::Probe { probe, node } => {
                 let address = self.engine.roster().entry(node).map(|entry| entry.address);
-                match address {
-                    Some(address) => drop(tokio::spawn(probe::probe(self.shared.clone(), probe, address))),
-                    None => self.next.push(Input::Probed { probe, load: None }),
+                let sent =
+                    address.map(|address| self.with.errands.try_send(Errand::Probe { probe, address }));
+                if !matches!(sent, Some(Ok(()))) {
+                    self.next.push(Input::Probed { probe, load: None });
                 }
             }
             Effect::Listed { generation, refused: None } => {
--- a/crates/director/src/hls/fetch.rs
+++ b/crates/director/src/hls/fetch.rs
@@ -20,7 +20,7 @@
 use url::Url;
 
 use crate::attempt::{Begins, End, Outcome, in_our_words};
-use crate::serve::Shared;
+use crate::shared::Shared;
 
 /// A session that its node has accepted.
 pub struct Accepted {
--- a/crates/director/src/hls/mod.rs
+++ b/crates/director/src/hls/mod.rs
@@ -25,8 +25,8 @@
 use tokio::sync::{Semaphore, mpsc, oneshot};
 use tracing::{debug, warn};
 
-use crate::core::{Command, ORDERS};
-use crate::serve::Shared;
+use crate::orders::{Command, ORDERS};
+use crate::shared::Shared;
 
 pub type Body = BoxBody<Bytes, hyper::Error>;
 pub type Reply = Response<Body>;
--- a/crates/director/src/hls/session.rs
+++ b/crates/director/src/hls/session.rs
@@ -22,7 +22,7 @@
 use super::relay::{Relay, Relayed};
 use super::{Front, Job, Reply, busy, plain};
 use crate::attempt::{self, Attempt, Outcome};
-use crate::core::{self, Command, ORDERS, Order};
+use crate::orders::{self, Command, ORDERS, Order};
 
 /// What a session begins with.
 pub struct Start {
@@ -447,6 +447,6 @@
             let (input, _) = attempt::told(sess, setup, attempt.withdraw().await);
             core.tell(input).await;
         }
-        core::close(&core, sess, &mut self.orders).await;
+        orders::close(&core, sess, &mut self.orders).await;
     }
 }
--- a/crates/director/src/lib.rs
+++ b/crates/director/src/lib.rs
@@ -3,17 +3,22 @@
 
 mod attempt;
 mod core;
+mod errands;
+mod files;
 mod hls;
 mod lists;
 mod node;
+mod orders;
 mod owed;
 mod pool;
 mod probe;
 mod serve;
 mod session;
+mod shared;
 mod viewer;
 
 pub use ashglade_clock::Clock;
 pub use ashglade_talk::Defect;
+pub use files::Trouble;
 pub use lists::Files;
-pub use serve::{Options, Trouble, door_view, load, replay_start, serve, shared_view};
+pub use serve::{Options, door_view, load, replay_start, serve, shared_view};
--- a/crates/director/src/lists.rs
+++ b/crates/director/src/lists.rs
@@ -14,7 +14,8 @@
 use tokio::sync::mpsc;
 use tracing::{info, warn};
 
-use crate::serve::{self, Shared, Trouble};
+use crate::files::{self, Trouble};
+use crate::shared::Shared;
 
 /// Where lists are read, and where the one in force is kept.
 #[derive(Clone, Debug)]
@@ -26,8 +27,8 @@
 impl Files {
     pub fn new(settings: &Settings, path: &Path) -> Files {
         Files {
-            sources: settings.box_lists.iter().map(|name| serve::beside(path, name)).collect(),
-            kept: settings.kept_list.as_ref().map(|name| serve::beside(path, name)),
+            sources: settings.box_lists.iter().map(|name| files::beside(path, name)).collect(),
+            kept: settings.kept_list.as_ref().map(|name| files::beside(path, name)),
         }
     }
 }
@@ -113,7 +114,7 @@
 /// Writes the list in force down, for a start without any other.
 fn keep(files: &Files, list: Option<&List>, names: &Names) {
     if let (Some(path), Some(list)) = (&files.kept, list)
-        && let Err(error) = serve::replace(path, &ashglade_settings::write_boxes(list, names))
+        && let Err(error) = files::replace(path, &ashglade_settings::write_boxes(list, names))
     {
         warn!(path = %path.display(), %error, "the list in force can't be kept");
     }
--- a/crates/director/src/node.rs
+++ b/crates/director/src/node.rs
@@ -12,9 +12,9 @@
 use futures_util::{SinkExt, StreamExt};
 use rtsp_types::Url;
 
-use crate::core::{Command, Page};
+use crate::orders::{Command, Page};
 use crate::pool::Connection;
-use crate::serve::Shared;
+use crate::shared::Shared;
 
 pub struct NodeSide {
     pub node: Node,
--- /dev/null
+++ b/crates/director/src/orders.rs
@@ -0,0 +1,108 @@
+//! What tasks and the engine's task say to each other.
+
+use std::net::SocketAddr;
+
+use ashglade::ids::{Node, Rung, Sess, SetupNo};
+use ashglade::interface::Ending;
+use ashglade::time::Instant;
+use ashglade_engine::{Answer, Input, Tally};
+use ashglade_ledger::{Call, Held, Outcome};
+use tokio::sync::{mpsc, oneshot};
+
+/// Inputs that wait for the engine at most; a full channel slows those who read sockets.
+pub const INPUTS: usize = 4096;
+/// Orders that wait for a session at most: more than the engine has for one session at once.
+pub const ORDERS: usize = 16;
+
+/// What a session's task is told.
+#[derive(Clone, Copy, Debug)]
+pub enum Order {
+    Setup {
+        setup: SetupNo,
+        node: Node,
+        address: SocketAddr,
+        http: Option<SocketAddr>,
+        rung: Rung,
+        decided: Instant,
+    },
+    Withdraw {
+        setup: SetupNo,
+        if_unsent: bool,
+    },
+    Answer(Answer),
+    Rung(Rung),
+    Release,
+}
+
+pub enum Command {
+    Input(Input),
+    /// A viewer asks for a session; its orders go to this channel from now on.
+    Open {
+        input: Input,
+        sess: Sess,
+        orders: mpsc::Sender<Order>,
+    },
+    /// The session's task needs no more orders.
+    Close(Sess),
+    Tally(oneshot::Sender<(Tally, usize)>),
+    Page(Page),
+}
+
+/// What concerns the ledger of sessions at nodes.
+pub enum Page {
+    Hold(Sess, Held),
+    Ended(Sess),
+    Owe(Sess),
+    Told(Sess, Outcome),
+}
+
+/// What the engine's task wants done at a node, by whoever has the means.
+pub enum Errand {
+    Probe { probe: u64, address: SocketAddr },
+    TearDown(Call),
+}
+
+/// How other tasks reach the engine.
+#[derive(Clone)]
+pub struct Core {
+    commands: mpsc::Sender<Command>,
+}
+
+impl Core {
+    pub fn new() -> (Core, mpsc::Receiver<Command>) {
+        let (commands, receiver) = mpsc::channel(INPUTS);
+        (Core { commands }, receiver)
+    }
+
+    pub async fn tell(&self, input: Input) {
+        self.send(Command::Input(input)).await;
+    }
+
+    pub async fn send(&self, command: Command) {
+        // The engine's task ends only with the process.
+        let _ = self.commands.send(command).await;
+    }
+
+    pub async fn tally(&self) -> Option<(Tally, usize)> {
+        let (reply, told) = oneshot::channel();
+        self.send(Command::Tally(reply)).await;
+        told.await.ok()
+    }
+}
+
+impl ashglade_talk::Engine for Core {
+    async fn tell(&self, input: Input) {
+        Core::tell(self, input).await;
+    }
+}
+
+/// The session's task needs no more orders. A SETUP that was ordered and not yet begun never ran.
+pub async fn close(core: &Core, sess: Sess, orders: &mut mpsc::Receiver<Order>) {
+    orders.close();
+    while let Ok(order) = orders.try_recv() {
+        if let Order::Setup { setup, .. } = order {
+            core.tell(Input::Ended { sess, setup, how: Ending::Unsent, load: None }).await;
+        }
+    }
+    core.send(Command::Close(sess)).await;
+}
--- a/crates/director/src/owed.rs
+++ b/crates/director/src/owed.rs
@@ -7,8 +7,8 @@
 use futures_util::{SinkExt, StreamExt};
 use rtsp_types::{Method, StatusCode, Url, headers};
 
-use crate::core::{Command, Page};
-use crate::serve::Shared;
+use crate::orders::{Command, Page};
+use crate::shared::Shared;
 
 /// Tries one and tells what came of it.
 pub async fn call(shared: Arc<Shared>, call: Call) {
--- a/crates/director/src/probe.rs
+++ b/crates/director/src/probe.rs
@@ -10,7 +10,7 @@
 use rtsp_types::{Method, Url, headers};
 
 use crate::attempt;
-use crate::serve::Shared;
+use crate::shared::Shared;
 
 /// Tells the engine what came of a probe; the engine itself knows when it is too late.
 pub async fn probe(shared: Arc<Shared>, probe: u64, node: SocketAddr) {
--- a/crates/director/src/serve.rs
+++ b/crates/director/src/serve.rs
@@ -1,109 +1,34 @@
 //! Starting, listening, following the box list, stopping.
 
-use std::hash::{Hash, Hasher};
 use std::path::{Path, PathBuf};
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::AtomicU64;
 use std::sync::{Arc, Mutex};
 
-use ashglade::ids::{Group, Rung, Sess};
 use ashglade::time::Span;
-use ashglade_engine::{DoorTerms, Input, Start, Want};
+use ashglade_engine::{DoorTerms, Input, Start};
 use ashglade_ledger::{Ledger, Terms, pages};
 use ashglade_roster::List;
 use ashglade_rtsp::digest::Users;
-use ashglade_settings::{Settings, Title};
+use ashglade_settings::Settings;
 use bytes::Bytes;
 use http_body_util::Empty;
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::{TokioExecutor, TokioTimer};
-use siphasher::sip::SipHasher13;
 use tokio::net::{TcpListener, UdpSocket};
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::{Semaphore, mpsc, watch};
 use tracing::{info, warn};
 
-use crate::core::{self, Book, Core};
+use crate::core::{self, Book, With};
+use crate::files::{Trouble, beside, read, replace};
 use crate::lists::{self, Files};
+use crate::orders::{Core, INPUTS};
 use crate::pool::Pool;
-use crate::viewer;
+use crate::shared::Shared;
+use crate::{errands, viewer};
 use ashglade_clock::Clock;
 
-/// What every task may need.
-pub struct Shared {
-    pub core: Core,
-    pub clock: Clock,
-    pub pool: Pool,
-    /// Connections to nodes for HLS.
-    pub http: Client<HttpConnector, Empty<Bytes>>,
-    pub settings: Settings,
-    /// Set when the director drains.
-    pub draining: watch::Sender<bool>,
-    pub users: Option<Arc<Users>>,
-    /// Where the door's view is written.
-    pub door_view: Option<PathBuf>,
-    next_sess: AtomicU64,
-    random: Mutex<oorandom::Rand64>,
-}
-
-impl Shared {
-    /// A number that no other session has, also not of the director before this one.
-    pub fn new_sess(&self) -> Sess {
-        Sess(self.next_sess.fetch_add(1, Ordering::Relaxed))
-    }
-
-    /// What a viewer asks for, by either front. Clients and tenants are told by the query elements that settings name;
-    /// who names no client is its address.
-    pub fn want(
-        &self,
-        title: &Title,
-        group: Group,
-        top: u8,
-        element: impl Fn(&str) -> Option<String>,
-        peer: impl FnOnce() -> String,
-    ) -> Want {
-        let settings = &self.settings;
-        let door = settings.door.as_ref();
-        let client = door.and_then(|door| door.client_query.as_deref()).and_then(&element);
-        let tenant = door.and_then(|door| door.tenant_query.as_deref()).and_then(&element);
-        let mut hasher = SipHasher13::new();
-        client.unwrap_or_else(peer).hash(&mut hasher);
-        Want {
-            group,
-            title: ashglade::ids::Title(title.id),
-            top: Rung(top.min(settings.top_rung())),
-            home: title.home,
-            copies: title.copies,
-            setup_timeout: settings.setup_timeouts[group.0],
-            tenant: settings.tenant(tenant.as_deref()),
-            client: hasher.finish(),
-        }
-    }
-
-    /// For names of sessions and SSRCs, which only have to differ.
-    pub fn random(&self) -> u64 {
-        self.random.lock().unwrap_or_else(|broken| broken.into_inner()).rand_u64()
-    }
-}
-
-#[derive(Debug, thiserror::Error)]
-pub enum Trouble {
-    #[error("{path}: {source}")]
-    Read { path: PathBuf, source: std::io::Error },
-    #[error(transparent)]
-    Settings(#[from] ashglade_settings::Trouble),
-    #[error("{path}: {source}")]
-    List { path: PathBuf, source: ashglade_roster::Refusal },
-    #[error("no box list: {0}")]
-    NoList(String),
-    #[error("{path}: {source}")]
-    Ledger { path: PathBuf, source: pages::Trouble },
-    #[error("listening at {address}: {source}")]
-    Listen { address: std::net::SocketAddr, source: std::io::Error },
-    #[error("signals can't be caught: {0}")]
-    Signals(std::io::Error),
-}
-
 /// How a director is started.
 #[derive(Clone, Debug, Default)]
 pub struct Options {
@@ -114,22 +39,6 @@
     pub defect: Option<ashglade_talk::Defect>,
 }
 
-/// A file that settings name, from the folder of the settings.
-pub(crate) fn beside(settings: &Path, name: &str) -> PathBuf {
-    settings.parent().unwrap_or(Path::new(".")).join(name)
-}
-
-/// Replaces a file whole: no reader sees half of it.
-pub(crate) fn replace(path: &Path, text: &str) -> std::io::Result<()> {
-    let new = path.with_extension("new");
-    std::fs::write(&new, text)?;
-    std::fs::rename(&new, path)
-}
-
-fn read(path: &Path) -> Result<String, Trouble> {
-    std::fs::read_to_string(path).map_err(|source| Trouble::Read { path: path.to_path_buf(), source })
-}
-
 /// Reads and checks settings and box lists; the list that would be in force, and where lists are read.
 pub fn load(path: &Path) -> Result<(Settings, List, Files), Trouble> {
     let settings = ashglade_settings::settings(&path.display().to_string(), &read(path)?)?;
@@ -214,7 +123,6 @@
         settings: settings.clone(),
         draining: watch::channel(false).0,
         users: settings.front.users.clone().map(|(realm, users)| Arc::new(Users { realm, users })),
-        door_view: door_view(&settings, &options.settings),
         next_sess: AtomicU64::new(started << 20),
         random: Mutex::new(oorandom::Rand64::new(
             u128::from(started) << 64 | u128::from(settings.headend.seed),
@@ -223,7 +131,7 @@
     let (drained, mut is_drained) = watch::channel(false);
     shared.core.tell(Input::List(list.clone())).await;
     let book = book(&settings, &options.settings, clock.now())?;
-    let (seen, outcomes) = mpsc::channel(core::INPUTS);
+    let (seen, outcomes) = mpsc::channel(INPUTS);
     let talk = talk.and_then(|socket| {
         let view = shared_view(&settings, &options.settings);
         ashglade_talk::Started::new(&settings, socket, clock, outcomes, view).map(|mut started| {
@@ -234,7 +142,10 @@
     // Only what is shared by settings is told of.
     let seen = settings.talk.as_ref().and_then(|talk| talk.share.as_ref()).map(|_| seen);
     let start = replay_start(&settings);
-    tokio::spawn(core::run(shared.clone(), start, commands, record, book, drained, seen));
+    let (errands, wanted) = mpsc::channel(INPUTS);
+    let with = With { clock, door_view: door_view(&settings, &options.settings), errands };
+    tokio::spawn(core::run(with, start, commands, record, book, drained, seen));
+    tokio::spawn(errands::run(shared.clone(), wanted));
     tokio::spawn(lists::follow(shared.clone(), files, watch));
     if let Some((hls, listener)) = second {
         info!(address = %hls.listen, "serving HLS");
--- a/crates/director/src/session.rs
+++ b/crates/director/src/session.rs
@@ -8,9 +8,9 @@
 use tokio::time::Instant;
 
 use crate::attempt::Attempt;
-use crate::core::Order;
 use crate::node::NodeSide;
-use crate::serve::Shared;
+use crate::orders::Order;
+use crate::shared::Shared;
 
 /// A session, from its request to its end.
 pub struct Live {
--- a/crates/director/src/viewer.rs
+++ b/crates/director/src/viewer.rs
@@ -24,10 +24,10 @@
 use tracing::{debug, info};
 
 use crate::attempt::{self, Attempt, Outcome, Wanted};
-use crate::core::{self, Command, ORDERS, Order};
 use crate::node::NodeSide;
-use crate::serve::Shared;
+use crate::orders::{self, Command, ORDERS, Order};
 use crate::session::{Frame, Live};
+use crate::shared::Shared;
 
 /// Requests that wait behind one that is being answered, at most.
 const MOST_QUEUED: usize = 16;
@@ -499,7 +499,7 @@
         if let Some(node) = live.node {
             tokio::spawn(node.tear_down(self.shared.clone()));
         }
-        core::close(core, sess, &mut live.orders).await;
+        orders::close(core, sess, &mut live.orders).await;
         self.server.ended();
     }
 }
