--- a/crates/director/tests/layers.rs
+++ b/crates/director/tests/layers.rs
@@ -61,5 +61,6 @@
         lists node owed
         core shared
         files orders pool
-    "#]].assert_eq(&layers);
+    "#]]
+    .assert_eq(&layers);
 }
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -88,6 +88,15 @@
         #[arg(long)]
         plot: Option<PathBuf>,
     },
+    /// Measures what sharing costs and brings over the number of directors, in simulated time.
+    MeasureShared {
+        file: PathBuf,
+        #[arg(long, value_delimiter = ',', default_value = "3,9,30,100,300")]
+        directors: Vec<u32>,
+        /// Draws bytes a second by each director as SVG.
+        #[arg(long)]
+        plot: Option<PathBuf>,
+    },
     /// Judges recorded traffic again.
     Judge { traffic: PathBuf },
     /// Writes a day file, scaled to one machine, with the troubles of a day that the bench drew.
@@ -140,6 +149,9 @@
             let without = Without { door: no_door, share: no_share, talk: no_talk };
             emulate(&file, &without, directors, seed, json.as_deref(), plot.as_deref())
         }
+        Command::MeasureShared { file, directors, plot } => {
+            measure_shared(&file, &directors, plot.as_deref()).map(|()| true)
+        }
         Command::Judge { traffic } => judge(&traffic),
         Command::FromBench { day } => bench::convert(&day).map(|text| {
             print!("{text}");
@@ -260,6 +272,43 @@
     Ok(report.broken_rules.is_empty())
 }
 
+/// The day without sharing, with turns alone, and with all that its settings have, for each number of directors.
+fn measure_shared(
+    file: &std::path::Path,
+    directors: &[u32],
+    plot: Option<&std::path::Path>,
+) -> Result<(), String> {
+    let day = day::read(file)?;
+    let mut lines = vec![("turns alone", Vec::new()), ("turns, judgements and repeats", Vec::new())];
+    println!("directors  shared   bytes/s by each  words held  SETUPs failed  service  took");
+    for &count in directors {
+        for (name, line) in [("nothing", None), ("turns", Some(0)), ("all", Some(1))] {
+            let mut day = day::Day { directors: Some(count), ..day.clone() };
+            if let Some(headend) = &mut day.headend {
+                headend.talk = headend.talk.take().filter(|_| line.is_some());
+                if let Some(talk) = headend.talk.as_mut().filter(|_| line == Some(0)) {
+                    talk.share = None;
+                }
+            }
+            let begun = std::time::Instant::now();
+            let report = emulator::run(&day, true)?;
+            let took = begun.elapsed().as_secs_f64();
+            let bytes = report.said.1 as f64 / report.samples.len().max(1) as f64 / f64::from(count);
+            if let Some(line) = line {
+                lines[line].1.push((f64::from(count), bytes));
+            }
+            println!(
+                "{count:9}  {name:7}  {bytes:15.0}  {:10}  {:13}  {:.4}   {took:.2} s",
+                report.words,
+                report.failed_at.len(),
+                report.service
+            );
+        }
+    }
+    let title = "What each director says to others";
+    plot.map_or(Ok(()), |path| plot::over_directors(path, title, &lines))
+}
+
 async fn play_matrix(out: PathBuf, short: bool) -> Result<bool, String> {
     let (cares, stages) = if short {
         (&matrix::CARES[2..], &matrix::STAGES[..1])
--- a/crates/lab/src/plot.rs
+++ b/crates/lab/src/plot.rs
@@ -69,3 +69,45 @@
     let asked = |s: &crate::emulator::Sample| s.asked.iter().any(|&n| n > 0);
     report.samples.iter().rposition(asked).map_or(1, |i| i + 1)
 }
+
+/// Figures over the number of directors, on an axis that shows growth by the log as a straight line.
+pub fn over_directors(path: &Path, title: &str, lines: &[(&str, Vec<(f64, f64)>)]) -> Result<(), String> {
+    let say = |e: &dyn std::fmt::Display| format!("{}: {e}", path.display());
+    let root = SVGBackend::new(path, (WIDTH, ROW)).into_drawing_area();
+    root.fill(&WHITE).map_err(|e| say(&e))?;
+    let points = || lines.iter().flat_map(|(_, points)| points);
+    let from = points().map(|p| p.0).fold(f64::INFINITY, f64::min);
+    let to = points().map(|p| p.0).fold(from * 1.1, f64::max);
+    let most = points().map(|p| p.1).fold(1.0, f64::max);
+    let mut chart = ChartBuilder::on(&root)
+        .caption(title, ("sans-serif", 16))
+        .margin(8)
+        .x_label_area_size(34)
+        .y_label_area_size(64)
+        .build_cartesian_2d((from..to).log_scale(), 0.0..most * 1.2)
+        .map_err(|e| say(&e))?;
+    chart
+        .configure_mesh()
+        .x_desc("directors (log)")
+        .y_desc("bytes a second by each")
+        .light_line_style(WHITE)
+        .draw()
+        .map_err(|e| say(&e))?;
+    for (k, (name, points)) in lines.iter().enumerate() {
+        let color = Palette99::pick(k).to_rgba();
+        let width = 2 + 2 * k as u32;
+        chart
+            .draw_series(LineSeries::new(points.clone(), color.stroke_width(width)))
+            .map_err(|e| say(&e))?
+            .label(*name)
+            .legend(move |(x, y)| PathElement::new([(x, y), (x + 18, y)], color.stroke_width(width)));
+    }
+    chart
+        .configure_series_labels()
+        .position(SeriesLabelPosition::LowerRight)
+        .background_style(WHITE.mix(0.8))
+        .border_style(BLACK.mix(0.3))
+        .draw()
+        .map_err(|e| say(&e))?;
+    root.present().map_err(|e| say(&e))
+}
