Platform: what stood at a node told as removed is released, though a line is still owed there

Lines at fault: peers.rs, down() owes a line for the SETUP that was open (owe), after told() had cleared the letters of the removed node and taken its address; look_at() then returned at 'letters wait and no connection is there: dial' each time, dial did nothing for want of an address, and the checks below it were never reached. Ruled out: the node's word coming late (none came), a test passed meanwhile (no connection), the director standing still (it served others all the time). Change: a node without an address has nobody to be told anything; its letters go before that check. The test showed the session unreleased for 4 s before, 149 ms now.

--- a/crates/platform/src/peers.rs
+++ b/crates/platform/src/peers.rs
@@ -560,6 +560,10 @@
     fn look_at(&mut self, now: Instant, node: Node) {
         let Some(peer) = self.peers.get_mut(&node) else { return };
         let after = |at: Instant, secs: f64| now - at > Span::from_secs(secs);
+        if peer.address.is_none() {
+            // No longer listed: nobody is there to be told. A line owed since must not keep what stood there from its end.
+            peer.letters.clear();
+        }
         if peer.trunks.is_empty() && !peer.letters.is_empty() && after(peer.dialed, REDIAL) {
             return self.dial(now, node);
         }
--- a/crates/platform/src/tests.rs
+++ b/crates/platform/src/tests.rs
@@ -651,3 +651,28 @@
         viewer 0 < {"verb":"FINISH","tag":"a0","opts":{},"rc":41}
     "#]]);
 }
+
+/// A node is told as removed while a SETUP is out there, whose connection then ends: a line is owed for the SETUP that nobody can
+/// be told any more, and what stood there is over.
+#[test]
+fn what_stood_at_a_removed_node_is_released_though_a_line_is_owed_there() {
+    let mut stage = Stage::begun();
+    asks_one_node(stage.up("a0").opens(1), 1..2).up("c1");
+    stage.node("c1", "STARTED", 0x01, r#","opts":{},"blob":"m=1""#).waits(4000.0);
+    asks_one_node(&mut stage, 2..3).shown();
+    let c = r#"{"name":"c","address":"10.0.0.3:80","zone":"east","type":"std","group":2,"status":"removed","weight":4}"#;
+    stage.bus(&format!(r#"{{"offset":2,"batch":[{{"offset":2,"topology":{{"endpoints":[{c}]}}}}]}}"#), 1);
+    stage.down("c1", Fall::Lost).waits(4000.0).shows(expect![[r#"
+        viewer 1 < {"verb":"FINISH","tag":"02","opts":{},"rc":34}
+        after 149 ms:
+        viewer 1 < {"verb":"FINISH","tag":"01","opts":{},"rc":41}
+        after 399 ms:
+        dial a2
+        after 1149 ms:
+        viewer 0 < {"verb":"FINISH","tag":"a0","opts":{},"rc":41}
+        hang up a0
+        hang up a2
+        after 1399 ms:
+        viewer 0 closed
+    "#]]);
+}
