--- a/crates/cli/tests/off.rs
+++ b/crates/cli/tests/off.rs
@@ -36,9 +36,12 @@
     let mut command = Command::new(env!("CARGO_BIN_EXE_ashglade"));
     let mut running = Running(command.args(args).stderr(Stdio::piped()).spawn().unwrap());
     let mut said = String::new();
-    for line in BufReader::new(running.0.stderr.take().unwrap()).lines() {
+    let mut log = BufReader::new(running.0.stderr.take().unwrap()).lines();
+    while let Some(line) = log.next() {
         let line = line.unwrap();
         if line.contains("serving") {
+            // Its log goes on being read, as it would be in service.
+            std::thread::spawn(move || log.map_while(Result::ok).for_each(drop));
             return Ok(running);
         }
         said += &format!("{line}\n");
@@ -69,20 +72,24 @@
 }
 
 fn served(folder: &Path, talk: &str) -> Running {
+    director(folder, 0, talk)
+}
+
+fn director(folder: &Path, number: usize, talk: &str) -> Running {
     let settings = format!(
         r#"zone: "a" model {{ name: "m" places: 4 }} rung {{ kb_per_s: 4 utility: 1 }}
         group {{ name: "clip" start_target_ms: 800 setup_timeout_ms: 3000 utility: 1 care: SAFE }}
         title {{ name: "t" }} links {{ unit_kb_per_s: 100 cells: 1 racks: 1 }}
         limits {{ setups_per_session: 2 answer_margin_ms: 100 most_sessions: 10 }}
         cold {{ from: 0.4 warm_after_ms: 4000 fall_multiple: 3 fall_span_ms: 1000 }}
-        reports {{ probe_timeout_ms: 250 notice_ms: 1000 }} director {{ number: 0 directors: 2 zone: "a" seed: 1 }}
+        reports {{ probe_timeout_ms: 250 notice_ms: 1000 }} director {{ number: {number} directors: 2 zone: "a" seed: 1 }}
         front {{ listen: "{}" default_group: "clip" most_connections: 10 session_timeout_s: 60 write_timeout_ms: 5000
             connect_timeout_ms: 250 answer_timeout_ms: 1000 idle_connections: 1 keep_alive_ms: 2000 drain_ms: 1000
             list_poll_ms: 1000 }}
         box_list: "boxes.txtpb" {talk}"#,
         port()
     );
-    let file = folder.join("headend.txtpb");
+    let file = folder.join(format!("headend-{number}.txtpb"));
     std::fs::write(&file, settings).unwrap();
     let boxes = "generation: 1 box { name: \"n\" address: \"127.0.0.1:9\" zone: \"a\" model: \"m\" cell: 0 weight: 1 }";
     std::fs::write(folder.join("boxes.txtpb"), boxes).unwrap();
@@ -112,3 +119,48 @@
     let talk = format!("talk {{ {peers} secret: \"0123456789abcdef\" lease_ms: 3000 }}");
     assert_eq!(datagram_sockets(&served(folder.path(), &talk).0), 1);
 }
+
+#[test]
+fn what_a_director_believes_is_shown() {
+    let folder = tempfile::tempdir().unwrap();
+    // Addresses of this process's own: nobody else's ports come in between.
+    let [.., high, low] = std::process::id().to_be_bytes();
+    let peers: String =
+        (0..2).map(|n| format!("peer: \"127.{}.{low}.1:{}\" ", 96 + high % 32, 7000 + n)).collect();
+    let talk = |number: usize| {
+        format!(
+            "talk {{ {peers} secret: \"0123456789abcdef\" lease_ms: 1000 \
+             share {{ view: \"view-{number}.json\" repeats {{ at_node: 10 span_ms: 1000 kept: 1 }} }} }}"
+        )
+    };
+    let show = |number: usize| {
+        let file = folder.path().join(format!("headend-{number}.txtpb"));
+        let done = Command::new(env!("CARGO_BIN_EXE_ashglade"))
+            .arg("show")
+            .arg("--settings")
+            .arg(file)
+            .output()
+            .unwrap();
+        String::from_utf8_lossy(&done.stdout).into_owned() + &String::from_utf8_lossy(&done.stderr)
+    };
+    let until = |number: usize, what: &str| {
+        let mut shown = String::new();
+        for _ in 0..600 {
+            shown = show(number);
+            if shown.contains(what) {
+                return shown;
+            }
+            std::thread::sleep(std::time::Duration::from_millis(50));
+        }
+        panic!("{what} is not shown: {shown}");
+    };
+    let first = director(folder.path(), 0, &talk(0));
+    assert!(until(0, "director 0 of 2").contains("HEARS NOTHING"));
+    let second = director(folder.path(), 1, &talk(1));
+    let shown = until(0, "hears [0, 1]");
+    assert!(shown.contains("further SETUPs at one node 1 of 10"), "{shown}");
+    until(1, "turns at cold nodes [1, 3] of 4");
+    drop(second);
+    until(0, "HEARS NOTHING");
+    drop(first);
+}
--- a/crates/shared/tests/spread.rs
+++ b/crates/shared/tests/spread.rs
@@ -84,7 +84,8 @@
     });
     expect_test::expect![[r#"
         rounds: [4, 5, 8, 9]
-    "#]].assert_eq(&format!("rounds: {rounds:?}\n"));
+    "#]]
+    .assert_eq(&format!("rounds: {rounds:?}\n"));
 }
 
 #[test]
@@ -110,7 +111,8 @@
     }
     expect_test::expect![[r#"
         40 words in 15 rounds
-    "#]].assert_eq(&format!("{all} words in {rounds} rounds\n"));
+    "#]]
+    .assert_eq(&format!("{all} words in {rounds} rounds\n"));
 }
 
 #[test]
@@ -143,7 +145,8 @@
     let healed = (held(&fleet), fleet.members[3].view(fleet.now(), Span::ZERO).left.len());
     expect_test::expect![[r#"
         held [3, 12], alone [3] and leaves 0 where others leave 1; healed ([3, 12], 1)
-    "#]].assert_eq(&format!(
+    "#]]
+    .assert_eq(&format!(
         "held {before:?}, alone {alone:?} and leaves {left} where others leave {others}; healed {healed:?}\n"
     ));
 }
