Shared rights: looks for more are counted by pool; what is held is told by one piece

With two pools short, four homes were looked at and two answered; and the majority of a holder was counted in two places.

--- a/crates/shared/src/rights.rs
+++ b/crates/shared/src/rights.rs
@@ -51,7 +51,7 @@
 const REMEMBERED: usize = 4;
 /// A right that others hold is tried for, for so many asks.
 const TRIES: u32 = 2;
-/// Homes looked at in one ask while more is needed, and free rights told of in one answer.
+/// Homes looked at in one ask for each pool of which more is needed, and free rights told of in one answer.
 const LOOKS: usize = 2;
 const MOST_FREE: usize = 32;
 /// Rights in one message at most; what is beyond is asked for by the next.
@@ -284,12 +284,10 @@
                 look.extend((0..LOOKS).map(|k| (first + k) % n.min(lent)).filter(|&home| home != me));
             }
         }
-        let (wanted, councils) = (&mut self.wanted, &self.councils);
-        let n = self.terms.directors();
-        for (right, wanted) in wanted.iter_mut() {
-            let majority = councils[right.number as usize % n].len() / 2 + 1;
-            let held = wanted.votes.iter().filter(|&&(_, until)| now < until).count() >= majority;
-            wanted.tries = if held { 0 } else { wanted.tries.saturating_add(1) };
+        let held = self.wanted.iter().filter(|(right, wanted)| self.holds(right, wanted, now).is_some());
+        let held: BTreeSet<Right> = held.map(|(right, _)| *right).collect();
+        for (right, wanted) in &mut self.wanted {
+            wanted.tries = if held.contains(right) { 0 } else { wanted.tries.saturating_add(1) };
         }
         // A grant for an ask that is no longer remembered counts for nothing by itself.
         let oldest = self.asked.first().map_or(0, |&(number, _)| number);
@@ -349,7 +347,8 @@
             let own = rights.iter().filter(|right| self.home(right) == to).copied().collect();
             self.homes.insert(to, (now, number, own));
         }
-        for &home in look.iter().take(LOOKS) {
+        let look = &look[..look.len().min(LOOKS * self.terms.pools.len())];
+        for &home in look {
             if usize::from(home) < self.terms.directors() {
                 let lookers = self.lookers.entry(usize::from(home)).or_default();
                 lookers.insert(to, now);
@@ -367,7 +366,7 @@
             }
         }
         let mut free = Vec::new();
-        for &home in look.iter().take(LOOKS) {
+        for &home in look {
             for (pool, terms) in self.terms.pools.iter().enumerate() {
                 let numbers = (usize::from(home)..terms.lent).step_by(self.terms.directors());
                 let rights = numbers.map(|number| Right { pool: pool as u8, number: number as u32 });
