--- a/src/policy.rs
+++ b/src/policy.rs
@@ -574,13 +574,13 @@
         self.d.plant.turns = (ours.to_vec(), of.max(1) as f64);
     }
 
-    /// How many further SETUPs one node may be sent by us within the span: our part of a bound over all directors.
+    /// How many further SETUPs one node may be sent by us within the span: our part of a bound of all.
     pub fn repeats(&mut self, most: usize, span: Span) {
         self.d.plant.repeats = Some((most as f64, span));
     }
 
-    /// Nodes that others found failing, as far as that is agreed: tried when nothing else is left. Guards against
-    /// each director finding out by SETUPs of its own; all nodes at once are as good as none.
+    /// Nodes that others found failing, as far as that is agreed: tried when nothing else is left. Guards
+    /// against each director finding out by SETUPs of its own; all nodes at once are as good as none.
     pub fn doubted(&mut self, nodes: &[Node]) {
         let f = &mut self.d.fleet;
         f.doubted.fill(false);
