Shared state: counters, versions and looks that nobody read are out

Four of five counters of Member were never read, a version stood beside how often a word was told and was never compared, and what a voter gave and when each part is next due were asked by nobody.

--- a/crates/shared/src/lib.rs
+++ b/crates/shared/src/lib.rs
@@ -21,7 +21,7 @@
 pub mod spread;
 
 pub use judgements::{Judgement, Verdict};
-pub use member::{Body, Counters, Member, View, Word};
+pub use member::{Body, Member, View, Word};
 
 /// What a director is set up with; the same at all but for `me` and `seed`. [`Terms::digest`] goes along in each message:
 /// directors that were told otherwise pass each other's words over.
--- a/crates/shared/src/member.rs
+++ b/crates/shared/src/member.rs
@@ -37,17 +37,6 @@
     pub heard: BTreeSet<usize>,
 }
 
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize)]
-pub struct Counters {
-    pub said: u64,
-    pub heard: u64,
-    /// From a director that was set up otherwise, or not for us.
-    pub other_terms: u64,
-    pub not_for_us: u64,
-    /// Judgements that were news.
-    pub news: u64,
-}
-
 #[derive(Clone, Debug)]
 pub struct Member {
     terms: Terms,
@@ -58,7 +47,8 @@
     heard: BTreeMap<usize, Instant>,
     /// When own SETUPs failed, within a lease: each may want a further one.
     failures: VecDeque<Instant>,
-    pub counters: Counters,
+    /// Words of directors that were set up otherwise.
+    pub other_terms: u64,
 }
 
 /// Failures that are remembered at most: no more rights than these are needed.
@@ -75,7 +65,7 @@
             spread: Spread::new(terms.me, terms.directors(), terms.gossip, terms.seed ^ process, now),
             heard: BTreeMap::new(),
             failures: VecDeque::new(),
-            counters: Counters::default(),
+            other_terms: 0,
             terms,
         }
     }
@@ -90,10 +80,6 @@
         }
     }
 
-    pub fn next_due(&self) -> Instant {
-        self.rights.next_due().min(self.spread.next_due())
-    }
-
     pub fn tick(&mut self, now: Instant) -> Vec<Word> {
         self.known.forget(now);
         while self.failures.front().is_some_and(|&at| now - at >= self.terms.lease) {
@@ -109,8 +95,7 @@
         self.say(out)
     }
 
-    fn say(&mut self, out: Vec<(usize, Body)>) -> Vec<Word> {
-        self.counters.said += out.len() as u64;
+    fn say(&self, out: Vec<(usize, Body)>) -> Vec<Word> {
         let (from, terms) = (self.terms.me as u16, self.digest);
         out.into_iter().map(|(to, body)| Word { from, to: to as u16, terms, body }).collect()
     }
@@ -119,14 +104,12 @@
     pub fn take(&mut self, word: &Word, now: Instant) -> Vec<Word> {
         let from = usize::from(word.from);
         if usize::from(word.to) != self.terms.me || from >= self.terms.directors() || from == self.terms.me {
-            self.counters.not_for_us += 1;
             return Vec::new();
         }
         if word.terms != self.digest {
-            self.counters.other_terms += 1;
+            self.other_terms += 1;
             return Vec::new();
         }
-        self.counters.heard += 1;
         self.heard.insert(from, now);
         let out = match &word.body {
             Body::Rights(message) => {
@@ -134,9 +117,7 @@
                 answer.into_iter().map(|(to, message)| (to, Body::Rights(message))).collect()
             }
             Body::Spread(message) => {
-                let before = self.known.len();
                 let answers = self.spread.take(from, message, &mut self.known, now);
-                self.counters.news += self.known.len().saturating_sub(before) as u64;
                 answers.into_iter().map(|(to, message)| (to, Body::Spread(message))).collect()
             }
         };
--- a/crates/shared/src/rights.rs
+++ b/crates/shared/src/rights.rs
@@ -172,10 +172,6 @@
         right.number as usize % self.terms.directors()
     }
 
-    pub fn next_due(&self) -> Instant {
-        self.next
-    }
-
     /// Asks for what is needed, if it is time to; to whom, and what.
     pub fn tick(&mut self, now: Instant) -> Vec<(usize, Message)> {
         if now < self.next {
@@ -435,11 +431,6 @@
             }
         }
     }
-
-    /// What this director holds as a voter, for who wants to look: right, holder, and until when.
-    pub fn given(&self) -> impl Iterator<Item = (Right, usize, Instant)> {
-        self.given.iter().map(|(&right, given)| (right, given.to, given.until))
-    }
 }
 
 fn rest(terms: &Terms) -> Span {
--- a/crates/shared/src/spread.rs
+++ b/crates/shared/src/spread.rs
@@ -40,8 +40,8 @@
     every: Span,
     next: Instant,
     rounds: u64,
-    /// What is still news: by source and node, its version and how often it was told.
-    news: BTreeMap<(u16, u64), (u64, u32)>,
+    /// What is still news: by source and node, how often it was told.
+    news: BTreeMap<(u16, u64), u32>,
     random: oorandom::Rand64,
 }
 
@@ -51,13 +51,9 @@
         Spread { me, directors, every, next: now, rounds: 0, news: BTreeMap::new(), random }
     }
 
-    pub fn next_due(&self) -> Instant {
-        self.next
-    }
-
     /// This is to be told on.
     pub fn news(&mut self, word: &Judgement) {
-        self.news.insert((word.source, word.node), (word.version, 0));
+        self.news.insert((word.source, word.node), 0);
     }
 
     fn peer(&mut self) -> usize {
@@ -94,8 +90,7 @@
             return Vec::new();
         }
         let most = (TOLD * (self.directors as f64 + 1.0).log2()).ceil() as u32;
-        let mut order: Vec<((u16, u64), u32)> =
-            self.news.iter().map(|(&key, &(_, told))| (key, told)).collect();
+        let mut order: Vec<((u16, u64), u32)> = self.news.iter().map(|(&key, &told)| (key, told)).collect();
         order.sort_by_key(|&(key, told)| (told, key));
         order.truncate(MOST_WORDS);
         let held: BTreeMap<(u16, u64), Judgement> =
@@ -103,8 +98,8 @@
         let mut words = Vec::new();
         for (key, told) in order {
             match (held.get(&key), self.news.get_mut(&key)) {
-                (Some(word), Some(news)) if told < most => {
-                    news.1 += 1;
+                (Some(word), Some(times)) if told < most => {
+                    *times += 1;
                     words.push(*word);
                 }
                 _ => drop(self.news.remove(&key)),
--- a/crates/talk/src/run.rs
+++ b/crates/talk/src/run.rs
@@ -144,9 +144,9 @@
         match taken {
             Ok(datagram) => {
                 self.view.taken = (self.view.taken.0 + 1, self.view.taken.1 + bytes.len() as u64);
-                let before = self.member.counters.other_terms;
+                let before = self.member.other_terms;
                 let out = self.member.take(&datagram.word, now);
-                if self.member.counters.other_terms != before {
+                if self.member.other_terms != before {
                     *self.view.passed.entry("set up otherwise".into()).or_default() += 1;
                 }
                 out
