Module: a start that the list tells is known at ours too, and restarts add nothing to it

Need: cold nodes stay within N + 2 x root of N + 2 in the sum of all processes, through restarts that forget what was sent.

Seen: a test that runs the module's own permits for 1 to 300 directors over all windows fails on the module as found: '20 directors of 20 told, 4 places, restarts None, handed false: 14.8 too many' and '1 directors of 1 told, 150 places, restarts InTurn, handed true: 2.4 too many'. Ruled out by the same test: turns by the clock over two turns, integer parts, fewer or a tenth more directors than told. At fault: round(), which held a node told as just started for as unvouched as all others, so each director spent one on it; and cold_permits(), which took nothing as sent before our start.

Change: a node that the list tells as cold keeps that start when we start without sessions, and gets nothing within the first span after it. Nodes that only our own start makes us doubt are as before.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -134,11 +134,12 @@
         let told = news(&mut Round { d: self, out: &mut *out });
         if first {
             // Handed no sessions, we may have started at any time: our list vouches for no node, and each is
-            // held to have started no earlier than we did.
+            // held to have started no earlier than we did, unless told to be cold: that start is known.
             self.handed = self.sess.iter().any(|(_, s)| s.plays);
-            if !self.handed {
-                self.fleet.born.fill(now);
-                self.fleet.vouched.fill(now);
+            for i in 0..self.fleet.node.len() {
+                if !self.handed && self.warmth(self.fleet.born[i]) >= 1.0 {
+                    (self.fleet.born[i], self.fleet.vouched[i]) = (now, now);
+                }
             }
             if self.plant.ask_list.is_some() {
                 out.follow_list(true);
@@ -302,6 +303,12 @@
         if warmth >= 1.0 {
             return true;
         }
+        // Whether we start for the first time or again can't be told: of a node told to be cold our part of
+        // this span may be spent.
+        let told = self.fleet.born[i] != self.begun && self.warmth(self.fleet.born[i]) < 1.0;
+        if told && self.now - self.begun < self.plant.fall_span {
+            return false;
+        }
         let budget = self.fleet.places[i] * self.plant.fall_budget * warmth * COLD_PART;
         let (turns, of) = &self.plant.turns;
         let (span, ours) = (self.plant.fall_span, budget * turns.len() as f64 / of);
