--- a/crates/platform-director/src/bus.rs
+++ b/crates/platform-director/src/bus.rs
@@ -16,7 +16,7 @@
 use tokio::net::TcpStream;
 use tokio::sync::{mpsc, watch};
 use tokio::time::{sleep, timeout};
-use tracing::{debug, info};
+use tracing::{debug, info, warn};
 
 /// An answer may be held so long; a bus that has stopped is found out soon after.
 const HOLD: Duration = Duration::from_millis(1000);
@@ -37,7 +37,7 @@
     names: Names,
     events: mpsc::Sender<Event>,
 ) {
-    let mut connection = None;
+    let (mut connection, mut last) = (None, None);
     loop {
         let address = *source.borrow_and_update();
         let read = tokio::select! {
@@ -53,6 +53,9 @@
         };
         match read {
             Ok(batch) => {
+                if last.take().is_some() {
+                    info!(%address, "the event bus answers again");
+                }
                 let missed = batch.batch.last().is_some_and(|last| last.offset > held + 1);
                 let news = batch.after(held);
                 match news.last() {
@@ -69,7 +72,11 @@
                 }
             }
             Err(trouble) => {
-                debug!(trouble, "the event bus did not answer; asked again");
+                // Once for each trouble, not for each attempt.
+                if last.as_ref() != Some(&trouble) {
+                    warn!(%address, trouble, "the event bus did not answer; asked again until it does");
+                }
+                last = Some(trouble);
                 connection = None;
                 sleep(PAUSE).await;
             }
@@ -96,7 +103,8 @@
             return Err(format!("status {status}").into());
         }
         let body = Limited::new(response.into_body(), MOST).collect().await?.to_bytes();
-        let batch = serde_json::from_slice(&body)?;
+        let batch = serde_path_to_error::deserialize(&mut serde_json::Deserializer::from_slice(&body))
+            .map_err(|error| ashglade_site::field(&error))?;
         *connection = Some(sender);
         Ok::<Batch, Trouble>(batch)
     };
--- /dev/null
+++ b/crates/platform-director/src/connection.rs
@@ -0,0 +1,291 @@
+//! One connection, whoever is at its other end: lines in, lines out, both bounded, and how it ends.
+//!
+//! Three things cross here. A peer closes while a line for it is on its way: reading goes first, and what was not
+//! written is told when the connection ends, so that its owner can do without it or send it elsewhere. We close
+//! while a line of the peer's is on its way: an idle connection is closed only if nothing has come. And a socket
+//! that is dropped with bytes unread is reset, which may take with it what was just written: so we close our half
+//! first and pass over what still comes, for a moment.
+
+use std::io::ErrorKind;
+use std::time::Duration;
+
+use ashglade_platform::Lines;
+use bytes::{Buf, Bytes, BytesMut};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::sync::mpsc;
+use tokio::task::yield_now;
+use tokio::time::{Instant, sleep_until, timeout, timeout_at};
+use tokio_util::codec::Decoder;
+
+use crate::hub::Word;
+
+/// Orders that wait on one connection at most.
+pub const QUEUE: usize = 1024;
+/// Read at once at most, so that one that sends at full speed takes its turn with the others.
+const CHUNK: usize = 4096;
+/// A peer that takes nothing for so long is let go.
+const STUCK: Duration = Duration::from_secs(3);
+/// A connection that we close is gone after so long, whatever its peer does.
+const CLOSING: Duration = Duration::from_millis(250);
+/// Written bytes are surely with the peer, or lost for another reason, after so long.
+const ON_ITS_WAY: Duration = Duration::from_secs(1);
+/// Lines written at once at most.
+const TOGETHER: usize = 64;
+
+/// What the hub wants of a connection; it is closed, once all is written, when nobody holds its sender.
+#[derive(Debug)]
+pub enum Order {
+    Line(Bytes),
+    /// Closes unless something has come that the hub had not heard of: it had heard so many lines.
+    CloseIfQuiet(u64),
+}
+
+/// Why a connection ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum End {
+    /// The peer closed or reset it.
+    Closed,
+    /// What came can't be read, or stopped in the middle of a line.
+    Unreadable,
+    /// It doesn't take what is written.
+    Stuck,
+    /// We closed it.
+    Ours,
+}
+
+/// A line that is no message.
+pub struct Spoilt;
+
+struct Reader {
+    half: OwnedReadHalf,
+    buffer: BytesMut,
+    lines: Lines,
+    /// The peer's close has been read: what is buffered was its last.
+    ended: bool,
+    /// A line has begun and must end by then.
+    by: Option<Instant>,
+}
+
+impl Reader {
+    /// The next line; one that has begun must end within `patience`, in however many pieces it comes. May be dropped
+    /// and called again.
+    async fn next(&mut self, patience: Duration) -> Result<Bytes, End> {
+        loop {
+            self.read_on();
+            match self.lines.decode(&mut self.buffer) {
+                Ok(Some(line)) => {
+                    self.by = None;
+                    return Ok(line);
+                }
+                Ok(None) => {}
+                Err(_) => return Err(End::Unreadable),
+            }
+            if self.ended {
+                return Err(End::Closed);
+            }
+            if self.buffer.is_empty() {
+                // Nothing is held for a connection that is quiet; wait for word before there is room for it.
+                self.buffer = BytesMut::new();
+                self.half.readable().await.map_err(|_| End::Closed)?;
+            } else {
+                self.by.get_or_insert_with(|| Instant::now() + patience);
+            }
+            self.buffer.reserve(CHUNK);
+            let mut limited = (&mut self.half).take(CHUNK as u64);
+            let read = limited.read_buf(&mut self.buffer);
+            let read = match self.by {
+                Some(by) => timeout_at(by, read).await.map_err(|_| End::Unreadable)?,
+                None => read.await,
+            };
+            match read {
+                Ok(0) | Err(_) => return Err(End::Closed),
+                Ok(_) => {}
+            }
+        }
+    }
+
+    /// Takes what has come already, a few lines at most, so that a close behind them is known before they are acted on.
+    fn read_on(&mut self) {
+        while !self.ended && !self.buffer.is_empty() && self.buffer.len() < CHUNK {
+            self.buffer.reserve(CHUNK);
+            match self.half.try_read_buf(&mut self.buffer) {
+                Ok(0) => self.ended = true,
+                Ok(_) => {}
+                Err(error) if error.kind() == ErrorKind::WouldBlock => return,
+                Err(_) => self.ended = true,
+            }
+        }
+    }
+
+    /// Nothing has come that was not handed on.
+    fn is_quiet(&mut self) -> bool {
+        if self.buffer.is_empty() {
+            self.buffer.reserve(CHUNK);
+            // One that has closed meanwhile is told as such when it is read next.
+            let _ = self.half.try_read_buf(&mut self.buffer);
+        }
+        self.buffer.is_empty()
+    }
+
+    /// Passes over what still comes, until the peer closes too.
+    async fn pass_over(&mut self) {
+        self.buffer.clear();
+        self.buffer.reserve(CHUNK);
+        while self.half.read_buf(&mut self.buffer).await.is_ok_and(|n| n > 0) {
+            self.buffer.clear();
+        }
+    }
+}
+
+struct Writer {
+    half: OwnedWriteHalf,
+    /// Lines that wait, and those being written, with the part of them that is not written yet.
+    waiting: Vec<Bytes>,
+    under_way: Vec<Bytes>,
+    bytes: Bytes,
+    /// Something must be taken by then.
+    by: Instant,
+    last: Option<Instant>,
+}
+
+impl Writer {
+    fn has_more(&self) -> bool {
+        !self.bytes.is_empty() || !self.waiting.is_empty()
+    }
+
+    fn has_room(&self) -> bool {
+        self.waiting.len() < TOGETHER
+    }
+
+    /// Writes a part. May be dropped and called again.
+    async fn some(&mut self) -> Result<(), End> {
+        if self.bytes.is_empty() {
+            self.under_way = std::mem::take(&mut self.waiting);
+            self.bytes = match &self.under_way[..] {
+                [line] => line.clone(),
+                lines => Bytes::from(lines.concat()),
+            };
+            self.by = Instant::now() + STUCK;
+        }
+        let written = timeout_at(self.by, self.half.write(&self.bytes)).await;
+        let n = written.map_err(|_| End::Stuck)?.map_err(|_| End::Closed)?;
+        self.bytes.advance(n);
+        (self.by, self.last) = (Instant::now() + STUCK, Some(Instant::now()));
+        Ok(())
+    }
+
+    /// The lines that are not wholly written.
+    fn unwritten(mut self) -> Vec<Bytes> {
+        let (mut left, mut from) = (self.bytes.len(), self.under_way.len());
+        while left > 0 && from > 0 {
+            from -= 1;
+            left = left.saturating_sub(self.under_way[from].len());
+        }
+        let mut lines = self.under_way.split_off(from);
+        lines.append(&mut self.waiting);
+        lines
+    }
+}
+
+/// Carries lines both ways until either side ends it; tells why, and which lines were not written. `heard` makes a
+/// word of a line, if one is to be told of it; an error where it can't be read. It is told whether the peer has closed.
+pub async fn carry(
+    stream: TcpStream,
+    patience: Duration,
+    mut orders: mpsc::Receiver<Order>,
+    words: &mpsc::Sender<Word>,
+    mut heard: impl FnMut(Bytes, bool) -> Result<Option<Word>, Spoilt>,
+) -> (End, Vec<Bytes>) {
+    let _ = stream.set_nodelay(true);
+    let (read, write) = stream.into_split();
+    let mut reader =
+        Reader { half: read, buffer: BytesMut::new(), lines: Lines::default(), ended: false, by: None };
+    let (waiting, under_way, by) = (Vec::new(), Vec::new(), Instant::now());
+    let mut writer = Writer { half: write, waiting, under_way, bytes: Bytes::new(), by, last: None };
+    let mut told = 0;
+    // Nobody holds the sender any longer: what waits is written until then.
+    let mut closing = None;
+    let end = 'open: loop {
+        let mut order = tokio::select! {
+            // A peer that has closed is found out before anything is written to it.
+            biased;
+            line = reader.next(patience) => match line {
+                Ok(line) => {
+                    match heard(line, reader.ended) {
+                        Ok(None) => {}
+                        Ok(Some(word)) => {
+                            told += 1;
+                            if words.send(word).await.is_err() {
+                                break End::Ours;
+                            }
+                        }
+                        Err(Spoilt) => break End::Unreadable,
+                    }
+                    orders.try_recv().ok()
+                }
+                Err(end) => break end,
+            },
+            written = writer.some(), if writer.has_more() => match written {
+                Ok(()) => None,
+                Err(end) => break end,
+            },
+            order = orders.recv(), if closing.is_none() && writer.has_room() => {
+                if order.is_none() {
+                    closing = Some(Instant::now() + CLOSING);
+                }
+                order
+            }
+            () = sleep_until(closing.unwrap_or(by)), if closing.is_some() => break End::Stuck,
+        };
+        while let Some(taken) = order {
+            match taken {
+                Order::Line(line) => writer.waiting.push(line),
+                Order::CloseIfQuiet(known) => {
+                    // The machine is asked what has come, as after a standstill nobody has yet.
+                    yield_now().await;
+                    if known == told && !writer.has_more() && reader.is_quiet() {
+                        break 'open End::Ours;
+                    }
+                }
+            }
+            order = if writer.has_room() { orders.try_recv().ok() } else { None };
+        }
+        // One that sends without a pause is written to all the same.
+        if writer.has_more()
+            && let Some(Err(end)) = at_once(writer.some()).await
+        {
+            break end;
+        }
+        if closing.is_some() && !writer.has_more() {
+            break End::Ours;
+        }
+    };
+    orders.close();
+    if end == End::Ours {
+        let _ = timeout(CLOSING, async {
+            let _ = writer.half.shutdown().await;
+            if writer.last.is_some_and(|at| at.elapsed() < ON_ITS_WAY) {
+                reader.pass_over().await;
+            }
+        })
+        .await;
+    }
+    let mut unwritten = writer.unwritten();
+    while let Ok(order) = orders.try_recv() {
+        if let Order::Line(line) = order {
+            unwritten.push(line);
+        }
+    }
+    (end, unwritten)
+}
+
+/// What comes of it if it need not wait.
+async fn at_once<T>(future: impl Future<Output = T>) -> Option<T> {
+    tokio::select! {
+        biased;
+        done = future => Some(done),
+        () = std::future::ready(()) => None,
+    }
+}
--- a/crates/platform-director/src/hub.rs
+++ b/crates/platform-director/src/hub.rs
@@ -1,119 +1,209 @@
-//! The task that owns the switchboard. What has come in is drained into one turn; what comes of it goes to the
+//! The task that owns the switchboard. All that has come in is taken in one turn; what comes of it goes to the
 //! connections without waiting for any of them.
 
 use std::collections::BTreeMap;
+use std::net::IpAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
+use ashglade::time::Instant;
+use ashglade_clock::Clock;
 use ashglade_platform::{Action, Board, Event, Link, Trunk};
 use bytes::Bytes;
 use tokio::net::TcpListener;
-use tokio::sync::mpsc;
+use tokio::sync::{Semaphore, mpsc};
+use tokio::task::yield_now;
 use tracing::{debug, info, warn};
 
-use crate::lines::QUEUE;
+use crate::connection::{Order, QUEUE};
 use crate::{nodes, viewers};
-use ashglade_clock::Clock;
 
-/// Events taken into one turn at most.
-const TURN: usize = 256;
+/// Words that wait for the hub at most; a full channel slows those who read sockets.
+const WORDS: usize = 1024;
+/// What comes first waits for a turn, not for a queue: there are few of them.
+const FIRST: usize = 4;
 /// The state of things is logged so often.
 const REPORT: Duration = Duration::from_secs(10);
+/// Between attempts to take a connection, where the machine has no descriptor for it.
+const PAUSE: Duration = Duration::from_millis(20);
+/// So late, we stood still.
+const STOOD_STILL: Duration = Duration::from_millis(50);
+/// Last lines have so long before the process ends.
+const LAST: Duration = Duration::from_millis(300);
 
-/// An accepted connection, on its way to the hub.
-type Accepted = (Link, mpsc::Sender<Bytes>);
+/// What connections tell the hub.
+pub enum Word {
+    /// With what its connection is given orders by.
+    Opened(Link, IpAddr, mpsc::Sender<Order>),
+    Event(Event),
+}
+
+/// Descriptors that connections may hold, those that are closing included. Both together leave room for the event bus and for
+/// what the process holds for itself, whoever fills the rest.
+#[derive(Clone)]
+pub struct Descriptors {
+    pub viewers: Arc<Semaphore>,
+    pub nodes: Arc<Semaphore>,
+}
+
+impl Descriptors {
+    pub fn of(board: &Board) -> Descriptors {
+        let [viewers, nodes] = board.descriptors();
+        Descriptors { viewers: Arc::new(Semaphore::new(viewers)), nodes: Arc::new(Semaphore::new(nodes)) }
+    }
+}
 
 pub struct Hub {
     board: Board,
     clock: Clock,
-    events: mpsc::Sender<Event>,
     dial_timeout: Duration,
-    accepted: (mpsc::Sender<Accepted>, mpsc::Receiver<Accepted>),
-    viewers: BTreeMap<Link, mpsc::Sender<Bytes>>,
-    nodes: BTreeMap<Trunk, mpsc::Sender<Bytes>>,
+    descriptors: Descriptors,
+    words: (mpsc::Sender<Word>, mpsc::Receiver<Word>),
+    /// The event bus and the planned end: no flood of connections keeps them waiting.
+    first: (mpsc::Sender<Event>, mpsc::Receiver<Event>),
+    /// With how many lines have come from each.
+    viewers: BTreeMap<Link, (mpsc::Sender<Order>, u64)>,
+    nodes: BTreeMap<Trunk, mpsc::Sender<Order>>,
+    /// What the board hears of in the next turn.
+    taken: Vec<Event>,
 }
 
 impl Hub {
-    pub fn new(board: Board, clock: Clock, events: mpsc::Sender<Event>, dial_timeout: Duration) -> Hub {
-        let accepted = mpsc::channel(16);
-        Hub { board, clock, events, dial_timeout, accepted, viewers: BTreeMap::new(), nodes: BTreeMap::new() }
+    pub fn new(board: Board, clock: Clock, dial_timeout: Duration) -> Hub {
+        Hub {
+            descriptors: Descriptors::of(&board),
+            board,
+            clock,
+            dial_timeout,
+            words: mpsc::channel(WORDS),
+            first: mpsc::channel(FIRST),
+            viewers: BTreeMap::new(),
+            nodes: BTreeMap::new(),
+            taken: Vec::new(),
+        }
+    }
+
+    /// Where the event bus and the planned end are told.
+    pub fn first(&self) -> mpsc::Sender<Event> {
+        self.first.0.clone()
     }
 
-    /// Takes viewers' connections.
+    /// Takes viewers' connections, as many as there are descriptors for; others wait with the machine.
     pub fn accept(&self, listener: TcpListener) -> impl Future<Output = ()> + Send + 'static {
-        let (events, accepted) = (self.events.clone(), self.accepted.0.clone());
+        let (words, descriptors) = (self.words.0.clone(), self.descriptors.viewers.clone());
         async move {
             let mut next = 0;
-            loop {
+            while let Ok(descriptor) = descriptors.clone().acquire_owned().await {
                 match listener.accept().await {
                     Ok((stream, from)) => {
                         let link = Link(next);
                         next += 1;
-                        let (sender, queue) = mpsc::channel(QUEUE);
-                        if accepted.send((link, sender)).await.is_err() {
-                            return;
-                        }
-                        tokio::spawn(viewers::serve(link, from.ip(), stream, queue, events.clone()));
+                        tokio::spawn(viewers::serve(link, from.ip(), stream, descriptor, words.clone()));
                     }
                     Err(error) => {
-                        // Out of descriptors, it may be: there is room again when some are closed.
                         warn!(%error, "a connection can't be accepted");
-                        tokio::time::sleep(Duration::from_millis(20)).await;
+                        tokio::time::sleep(PAUSE).await;
                     }
                 }
             }
         }
     }
 
-    pub async fn run(mut self, mut inbox: mpsc::Receiver<Event>) {
-        let mut taken = Vec::with_capacity(TURN);
+    /// Until nothing is owed to anybody after a planned end was told.
+    pub async fn run(mut self) {
+        let mut words = Vec::with_capacity(WORDS);
         let mut report = tokio::time::interval(REPORT);
         loop {
-            let due = self.clock.at(self.board.next_due());
+            let due = if self.taken.is_empty() { self.board.next_due() } else { Instant::LONG_AGO };
+            let due = self.clock.at(due);
             tokio::select! {
                 biased;
-                Some((link, queue)) = self.accepted.1.recv() => {
-                    self.viewers.insert(link, queue);
-                    continue;
+                Some(event) = self.first.1.recv() => self.taken.push(event),
+                _ = self.words.1.recv_many(&mut words, WORDS) => {}
+                () = tokio::time::sleep_until(due) => {
+                    if due.elapsed() > STOOD_STILL {
+                        // What came meanwhile is still with the machine, and goes before what is late.
+                        yield_now().await;
+                    }
                 }
-                n = inbox.recv_many(&mut taken, TURN) => if n == 0 { return },
-                () = tokio::time::sleep_until(due) => {}
                 _ = report.tick() => self.report(),
             }
-            for event in &taken {
-                match event {
-                    Event::Closed(link) => drop(self.viewers.remove(link)),
-                    Event::Down(trunk, _) => drop(self.nodes.remove(trunk)),
-                    _ => {}
+            // Whatever woke us: what has come is heard before anything that is due is acted on.
+            while let Ok(event) = self.first.1.try_recv() {
+                self.taken.push(event);
+            }
+            while words.len() < WORDS
+                && let Ok(word) = self.words.1.try_recv()
+            {
+                words.push(word);
+            }
+            for word in words.drain(..) {
+                match word {
+                    Word::Opened(link, from, sender) => {
+                        self.viewers.insert(link, (sender, 0));
+                        self.taken.push(Event::Opened(link, from));
+                    }
+                    Word::Event(event) => {
+                        match event {
+                            Event::Said(link, _) => {
+                                if let Some((_, heard)) = self.viewers.get_mut(&link) {
+                                    *heard += 1;
+                                }
+                            }
+                            Event::Closed(link, _) => drop(self.viewers.remove(&link)),
+                            Event::Down(trunk, ..) => drop(self.nodes.remove(&trunk)),
+                            _ => {}
+                        }
+                        self.taken.push(event);
+                    }
                 }
             }
-            for action in self.board.turn(self.clock.now(), taken.drain(..)) {
+            for action in self.board.turn(self.clock.now(), std::mem::take(&mut self.taken)) {
                 self.act(action);
             }
+            if self.board.has_ended(self.clock.now()) {
+                info!("nothing is owed any longer: ended as planned");
+                return self.close().await;
+            }
+            // Connections are read between two turns, however much is due.
+            yield_now().await;
         }
     }
 
+    /// What was written last is on its way before the process ends.
+    async fn close(self) {
+        let Descriptors { nodes, .. } = self.descriptors;
+        let [_, all] = self.board.descriptors();
+        drop((self.viewers, self.nodes));
+        let _ = tokio::time::timeout(LAST, nodes.acquire_many(all as u32)).await;
+    }
+
     fn act(&mut self, action: Action) {
         match action {
             Action::ToViewer(link, line) => {
-                if let Some(queue) = self.viewers.get(&link)
-                    && queue.try_send(line).is_err()
-                {
+                if let Some(unread) = order(self.viewers.get(&link).map(|(sender, _)| sender), line) {
                     debug!(link = link.0, "does not read; let go");
                     self.viewers.remove(&link);
+                    self.taken.push(Event::Unread(link, unread));
                 }
             }
             Action::CloseViewer(link) => drop(self.viewers.remove(&link)),
+            Action::CloseIfQuiet(link) => {
+                if let Some((connection, heard)) = self.viewers.get(&link) {
+                    let _ = connection.try_send(Order::CloseIfQuiet(*heard));
+                }
+            }
             Action::Dial(trunk, address) => {
-                let (sender, queue) = mpsc::channel(QUEUE);
+                let (sender, orders) = mpsc::channel(QUEUE);
                 self.nodes.insert(trunk, sender);
-                tokio::spawn(nodes::serve(trunk, address, self.dial_timeout, queue, self.events.clone()));
+                let (descriptors, words) = (self.descriptors.nodes.clone(), self.words.0.clone());
+                tokio::spawn(nodes::serve(trunk, address, self.dial_timeout, descriptors, orders, words));
             }
             Action::ToNode(trunk, line) => {
-                if let Some(queue) = self.nodes.get(&trunk)
-                    && queue.try_send(line).is_err()
-                {
+                if let Some(unread) = order(self.nodes.get(&trunk), line) {
                     debug!(trunk = trunk.0, "does not read; let go");
                     self.nodes.remove(&trunk);
+                    self.taken.push(Event::Untaken(trunk, unread));
                 }
             }
             Action::HangUp(trunk) => drop(self.nodes.remove(&trunk)),
@@ -126,3 +216,12 @@
         info!(sessions, viewers, nodes, trunks, ?tally, "state");
     }
 }
+
+/// Sends a line to a connection; it comes back where the connection has ended or too much waits there.
+fn order(connection: Option<&mpsc::Sender<Order>>, line: Bytes) -> Option<Bytes> {
+    let Some(connection) = connection else { return Some(line) };
+    match connection.try_send(Order::Line(line)).err()?.into_inner() {
+        Order::Line(line) => Some(line),
+        Order::CloseIfQuiet(_) => None,
+    }
+}
--- a/crates/platform-director/src/lib.rs
+++ b/crates/platform-director/src/lib.rs
@@ -2,8 +2,8 @@
 //! switchboard of `ashglade_platform`. One thread; one task owns the switchboard, and what has come in is one turn.
 
 mod bus;
+mod connection;
 mod hub;
-mod lines;
 mod nodes;
 mod viewers;
 
@@ -13,14 +13,16 @@
 use ashglade_platform::{Board, Config, Event};
 use tokio::net::TcpListener;
 use tokio::signal::unix::{SignalKind, signal};
-use tokio::sync::{mpsc, watch};
-use tracing::{error, info};
+use tokio::sync::watch;
+use tokio::time::{Instant, sleep_until};
+use tracing::{error, info, warn};
 
 use crate::hub::Hub;
 use ashglade_clock::Clock;
 
-/// Events that wait for the switchboard at most; a full channel slows those who read sockets.
-const EVENTS: usize = 1024;
+/// A new configuration that can't be read is read so often, so far apart, before the one held stays in force.
+const READS: u32 = 5;
+const AGAIN: Duration = Duration::from_millis(100);
 
 #[derive(Debug, thiserror::Error)]
 pub enum Trouble {
@@ -30,6 +32,8 @@
     Listen { address: std::net::SocketAddr, error: std::io::Error },
     #[error("signals: {0}")]
     Signals(std::io::Error),
+    #[error("the task that owns the switchboard: {0}")]
+    Hub(tokio::task::JoinError),
 }
 
 pub fn load(path: &Path) -> Result<Config, Trouble> {
@@ -38,44 +42,69 @@
     Config::read(&text).map_err(trouble)
 }
 
-/// Serves until the process is ended from outside.
+/// Serves until the process is ended from outside, or until nothing is owed any longer after a planned end was told.
 pub async fn serve(path: &Path) -> Result<(), Trouble> {
-    let config = load(path)?;
+    // Signals first: one that comes while we start is not to end the process.
     let mut hangup = signal(SignalKind::hangup()).map_err(Trouble::Signals)?;
     let mut terminate = signal(SignalKind::terminate()).map_err(Trouble::Signals)?;
+    let mut config = load(path)?;
     let address = config.listen;
     let listener = TcpListener::bind(address).await.map_err(|error| Trouble::Listen { address, error })?;
     info!(name = config.name, %address, bus = %config.bus, sockets = config.limits.sockets, "serving");
 
     let clock = Clock::start();
-    let (events, inbox) = mpsc::channel(EVENTS);
     let board = Board::new(&config, clock.now());
     let (source, sources) = watch::channel(config.bus);
     let known = config.known.clone().after(0);
     let held = known.last().map_or(0, |event| event.offset);
     let names = config.site.names.clone();
     let news = known.into_iter().map(|event| event.news(&names)).collect();
-    let _ = events.send(Event::Bus(news)).await;
-    tokio::spawn(bus::follow(sources, held, names, events.clone()));
-    let hub = Hub::new(board, clock, events.clone(), dial_timeout(&config));
-    let accept = hub.accept(listener);
-    tokio::spawn(accept);
-    let mut hub = std::pin::pin!(hub.run(inbox));
+    let hub = Hub::new(board, clock, dial_timeout(&config));
+    let first = hub.first();
+    let _ = first.send(Event::Bus(news)).await;
+    tokio::spawn(bus::follow(sources, held, names, first.clone()));
+    tokio::spawn(hub.accept(listener));
+    // A task like the connections': it takes its turn among them.
+    let mut hub = tokio::spawn(hub.run());
+    let mut reading = None;
+    let mut ending = false;
     loop {
         tokio::select! {
-            () = &mut hub => return Ok(()),
-            _ = hangup.recv() => match load(path) {
-                Ok(config) => {
-                    info!(bus = %config.bus, "configuration read anew");
-                    let _ = source.send(config.bus);
-                }
-                Err(trouble) => error!(%trouble, "the configuration held stays in force"),
-            },
+            ended = &mut hub => return ended.map_err(Trouble::Hub),
+            _ = hangup.recv() => reading = Some((Instant::now(), READS)),
+            () = sleep_until(reading.map_or_else(Instant::now, |(at, _)| at)), if reading.is_some() => {
+                reading = match (load(path), reading) {
+                    (Ok(new), _) => {
+                        let waits = new.waits_for_a_restart(&config);
+                        info!(bus = %new.bus, "configuration read anew");
+                        if !waits.is_empty() {
+                            warn!(fields = waits.join(", "), "read anew, but in force from the next start on");
+                        }
+                        let _ = source.send(new.bus);
+                        config.bus = new.bus;
+                        None
+                    }
+                    // Whoever writes it may not have done yet.
+                    (Err(trouble), Some((_, more))) if more > 1 => {
+                        warn!(%trouble, "the new configuration is read again in a moment");
+                        Some((Instant::now() + AGAIN, more - 1))
+                    }
+                    (Err(trouble), _) => {
+                        error!(%trouble, "the configuration held stays in force");
+                        None
+                    }
+                };
+            }
             _ = terminate.recv() => {
+                if ending {
+                    info!("ended at once, as told twice");
+                    return Ok(());
+                }
+                ending = true;
                 info!("a planned end is near");
-                let events = events.clone();
+                let first = first.clone();
                 // The hub must go on taking events while this one waits for room.
-                tokio::spawn(async move { events.send(Event::Stopping).await });
+                tokio::spawn(async move { first.send(Event::Stopping).await });
             }
         }
     }
--- a/crates/platform-director/src/nodes.rs
+++ b/crates/platform-director/src/nodes.rs
@@ -2,61 +2,68 @@
 
 use std::io::ErrorKind;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use ashglade_platform::{Event, Fall, Message, Trunk};
 use bytes::Bytes;
 use tokio::net::TcpStream;
-use tokio::sync::mpsc;
+use tokio::sync::{Semaphore, mpsc};
 use tokio::time::timeout;
-use tracing::debug;
+use tracing::{info, warn};
 
-use crate::lines::{self, End, Reader};
+use crate::connection::{End, Order, Spoilt, carry};
+use crate::hub::Word;
 
-/// Connects and reads until the connection ends. Dropping the queue's sender closes it.
+/// How a connection that did not come up ended. What we lack ourselves says nothing of the node.
+fn not_up(error: &std::io::Error) -> Fall {
+    match error.kind() {
+        ErrorKind::ConnectionRefused => Fall::Refused,
+        ErrorKind::ConnectionReset
+        | ErrorKind::ConnectionAborted
+        | ErrorKind::TimedOut
+        | ErrorKind::HostUnreachable
+        | ErrorKind::NetworkUnreachable => Fall::NeverUp,
+        // No descriptor, port or memory here.
+        _ => {
+            warn!(%error, "no connection to a node can be begun");
+            Fall::Wanting
+        }
+    }
+}
+
+async fn tell(words: &mpsc::Sender<Word>, event: Event) {
+    let _ = words.send(Word::Event(event)).await;
+}
+
+/// Connects and reads until the connection ends. Dropping the orders' sender closes it.
 pub async fn serve(
     trunk: Trunk,
     address: SocketAddr,
     patience: Duration,
-    queue: mpsc::Receiver<Bytes>,
-    events: mpsc::Sender<Event>,
+    descriptors: Arc<Semaphore>,
+    orders: mpsc::Receiver<Order>,
+    words: mpsc::Sender<Word>,
 ) {
+    // One is free as soon as another connection has ended.
+    let Ok(Ok(descriptor)) = timeout(patience, descriptors.acquire_owned()).await else {
+        return tell(&words, Event::Down(trunk, Fall::Wanting, Vec::new())).await;
+    };
     let stream = match timeout(patience, TcpStream::connect(address)).await {
         Ok(Ok(stream)) => stream,
-        told => {
-            let refused = matches!(&told, Ok(Err(e)) if e.kind() == ErrorKind::ConnectionRefused);
-            let fall = if refused { Fall::Refused } else { Fall::NeverUp };
-            let _ = events.send(Event::Down(trunk, fall)).await;
-            return;
-        }
+        Ok(Err(error)) => return tell(&words, Event::Down(trunk, not_up(&error), Vec::new())).await,
+        Err(_) => return tell(&words, Event::Down(trunk, Fall::NeverUp, Vec::new())).await,
     };
-    let _ = stream.set_nodelay(true);
-    let (read, write) = stream.into_split();
-    let _ = events.send(Event::Up(trunk)).await;
-    let reading = async {
-        let mut reader = Reader::new(read);
-        loop {
-            let message = match reader.next(patience).await {
-                Ok(line) => Message::read(&line).map_err(|error| {
-                    debug!(trunk = trunk.0, %error, "what can't be read");
-                    Fall::Spoilt
-                }),
-                Err(End::Closed) => Err(Fall::Lost),
-                Err(End::Unreadable) => Err(Fall::Spoilt),
-            };
-            match message {
-                Ok(message) => {
-                    if events.send(Event::Heard(trunk, message)).await.is_err() {
-                        return Fall::Lost;
-                    }
-                }
-                Err(fall) => return fall,
-            }
+    tell(&words, Event::Up(trunk)).await;
+    let heard = |line: Bytes, _| match Message::read(&line) {
+        Ok(message) => Ok(Some(Word::Event(Event::Heard(trunk, message)))),
+        Err(error) => {
+            info!(trunk = trunk.0, %address, %error, "what can't be read; closed");
+            Err(Spoilt)
         }
     };
-    let fall = tokio::select! {
-        fall = reading => fall,
-        () = lines::write(write, queue) => Fall::Lost,
-    };
-    let _ = events.send(Event::Down(trunk, fall)).await;
+    let (end, unwritten) = carry(stream, patience, orders, &words, heard).await;
+    drop(descriptor);
+    let fall = if end == End::Unreadable { Fall::Spoilt } else { Fall::Lost };
+    tell(&words, Event::Down(trunk, fall, unwritten)).await;
 }
--- a/crates/platform/src/ask.rs
+++ b/crates/platform/src/ask.rs
@@ -69,6 +69,12 @@
     figure.map(|f| f as u16).ok_or_else(|| wrong(field, format!("{text:?} is not from {least} to {most}")))
 }
 
+/// It plays at a node already, by its own word.
+pub fn is_handed_over(message: &Message) -> bool {
+    let extras = message.opts.get("extras").map(Extras::read);
+    extras.is_some_and(|extras| extras.is_ok_and(|extras| extras.at.is_some()))
+}
+
 pub fn read(message: &Message, site: &Site) -> Result<Ask, Trouble> {
     let opts = &message.opts;
     let class = opts.get("class").ok_or_else(|| wrong("class", "is missing"))?;
--- a/crates/platform/src/board.rs
+++ b/crates/platform/src/board.rs
@@ -45,16 +45,23 @@
     Spoilt,
     /// It carries nothing: of no more use either, and its node may stand still.
     Silent,
+    /// We had no descriptor or port for it: it says nothing of the node.
+    Wanting,
 }
 
 #[derive(Debug)]
 pub enum Event {
     Opened(Link, IpAddr),
     Said(Link, Message),
-    Closed(Link),
+    /// With the lines that were not written, which its viewer can't have read.
+    Closed(Link, Vec<Bytes>),
+    /// So much waits there that this line found no room, or it has ended.
+    Unread(Link, Bytes),
     Up(Trunk),
     Heard(Trunk, Message),
-    Down(Trunk, Fall),
+    /// The last word of each connection that was dialled, with the lines that were not written.
+    Down(Trunk, Fall, Vec<Bytes>),
+    Untaken(Trunk, Bytes),
     Bus(Vec<News>),
     /// A planned end is near: tests fail from here on, and what still comes is served.
     Stopping,
@@ -64,6 +71,8 @@
 pub enum Action {
     ToViewer(Link, Bytes),
     CloseViewer(Link),
+    /// Closes it unless something has come meanwhile; it counts as open until it is told as closed.
+    CloseIfQuiet(Link),
     Dial(Trunk, SocketAddr),
     ToNode(Trunk, Bytes),
     HangUp(Trunk),
@@ -84,6 +93,16 @@
 const SESSIONS_PER_MB: f64 = 100.0;
 /// Set-ups open on a viewer's connection at most.
 const MOST_OPEN: usize = 256;
+/// Set-ups that are decided in one turn at most, so that a close or a cancel is heard between two of a flood.
+const TOGETHER: usize = 32;
+/// A release that finds no connection of its client waits so long for one, and so many do.
+const OWED: f64 = 8.0;
+const MOST_OWED: usize = 4096;
+/// Descriptors that the process holds for itself: standard streams, the runtime's, the listener, the event bus at its old
+/// and its new address.
+const OWN_DESCRIPTORS: usize = 14;
+/// Set-ups still come for a while after a planned end was told.
+const STILL_COME: f64 = 1.5;
 
 /// A SETUP that is out.
 pub(crate) struct Out {
@@ -116,8 +135,35 @@
     idle_from: Instant,
     /// It has sent something that could be used.
     useful: bool,
+    /// Set-ups that are not in hand yet.
+    arrived: usize,
     open: BTreeSet<Sess>,
     standing: usize,
+    /// It is to be closed if nothing has come meanwhile.
+    closing: bool,
+}
+
+impl Viewer {
+    /// Nothing is open there and nothing plays that began there.
+    fn is_spare(&self) -> bool {
+        self.arrived == 0 && self.open.is_empty() && self.standing == 0
+    }
+}
+
+/// A set-up on its way to the engine.
+struct Arrival {
+    at: Instant,
+    link: Link,
+    tag: Tag,
+    message: Message,
+}
+
+/// A release that its client is owed: sent on a connection, or waiting for one.
+struct Release {
+    at: Instant,
+    to: IpAddr,
+    on: Option<Link>,
+    line: Bytes,
 }
 
 pub struct Board {
@@ -131,20 +177,26 @@
     pub(crate) calls: BTreeMap<Sess, Call>,
     pub(crate) tags: BTreeMap<Tag, Sess>,
     next_sess: u64,
+    arrivals: VecDeque<Arrival>,
     viewers: BTreeMap<Link, Viewer>,
-    most_viewers: usize,
+    /// Descriptors that viewers' and nodes' connections may hold.
+    descriptors: [usize; 2],
+    releases: VecDeque<Release>,
     pub(crate) peers: BTreeMap<Node, Peer>,
     pub(crate) trunks: BTreeMap<Trunk, Line>,
     pub(crate) next_trunk: u64,
     pub(crate) next_echo: u64,
+    /// Connections to nodes that we hung up, until their last word.
+    pub(crate) hung_up: BTreeMap<Trunk, Node>,
     pub(crate) given_up: VecDeque<(Node, Tag)>,
     look_at: Instant,
-    stopping: bool,
+    stopping: Option<Instant>,
 }
 
 impl Board {
     pub fn new(config: &Config, now: Instant) -> Board {
         let site = config.site.clone();
+        let spare = config.limits.sockets.saturating_sub(OWN_DESCRIPTORS).max(2);
         let start = Start {
             headend: site.headend.clone(),
             answer_margin: Span::from_ms(ANSWER_MARGIN_MS),
@@ -161,16 +213,18 @@
             calls: BTreeMap::new(),
             tags: BTreeMap::new(),
             next_sess: 0,
+            arrivals: VecDeque::new(),
             viewers: BTreeMap::new(),
-            // Viewers hold a third of the descriptors at most; some more, so that others are heard and closed.
-            most_viewers: config.limits.sockets * 9 / 20,
+            descriptors: [spare.div_ceil(2), spare / 2],
+            releases: VecDeque::new(),
             peers: BTreeMap::new(),
             trunks: BTreeMap::new(),
             next_trunk: 0,
             next_echo: site.headend.seed,
+            hung_up: BTreeMap::new(),
             given_up: VecDeque::new(),
             look_at: now,
-            stopping: false,
+            stopping: None,
             site,
         }
     }
@@ -179,6 +233,18 @@
         self.engine.as_ref().map(Engine::tally)
     }
 
+    /// Descriptors for viewers' connections and for nodes', those that are closing included.
+    pub fn descriptors(&self) -> [usize; 2] {
+        self.descriptors
+    }
+
+    /// A planned end was told, no set-up comes any longer, and nobody is owed anything.
+    pub fn has_ended(&self, now: Instant) -> bool {
+        let since = self.stopping.is_some_and(|at| now - at > Span::from_secs(STILL_COME));
+        let owed = self.releases.iter().any(|release| release.on.is_none());
+        since && self.calls.is_empty() && self.arrivals.is_empty() && !owed && self.nothing_waits_for_nodes()
+    }
+
     /// Sessions in hand, viewers' connections, nodes and connections to them.
     pub fn sizes(&self) -> [usize; 4] {
         [self.calls.len(), self.viewers.len(), self.peers.len(), self.trunks.len()]
@@ -186,13 +252,24 @@
 
     pub fn next_due(&self) -> Instant {
         let engine = self.engine.as_ref().and_then(Engine::next_due);
-        [Some(self.look_at), self.begins, engine].into_iter().flatten().min().unwrap_or(self.look_at)
+        let arrived = self.arrivals.front().map(|arrival| arrival.at);
+        [Some(self.look_at), self.begins, arrived, engine].into_iter().flatten().min().unwrap_or(self.look_at)
     }
 
     /// Takes all that has come in, in order, and what is due.
     pub fn turn(&mut self, now: Instant, events: impl IntoIterator<Item = Event>) -> Vec<Action> {
+        // A connection that came up writes what waits for it: last, as a viewer that has gone in the same turn wants nothing.
+        let mut up = Vec::new();
         for event in events {
-            self.take(now, event);
+            match event {
+                Event::Up(trunk) => up.push(trunk),
+                event => self.take(now, event),
+            }
+        }
+        up.into_iter().for_each(|trunk| self.up(now, trunk));
+        for _ in 0..TOGETHER {
+            let Some(arrival) = self.arrivals.pop_front() else { break };
+            self.asked(now, arrival);
         }
         if now >= self.look_at {
             self.look_at = now + Span::from_secs(LOOK);
@@ -219,12 +296,30 @@
         match event {
             Event::Opened(link, from) => self.opened(now, link, from),
             Event::Said(link, message) => self.said(now, link, message),
-            Event::Closed(link) => self.closed(link),
+            Event::Closed(link, unwritten) => {
+                self.closed(link);
+                unwritten.into_iter().for_each(|line| self.unread(now, link, line));
+            }
+            Event::Unread(link, line) => {
+                self.closed(link);
+                self.unread(now, link, line);
+            }
             Event::Up(trunk) => self.up(now, trunk),
             Event::Heard(trunk, message) => self.heard(now, trunk, message),
-            Event::Down(trunk, fall) => self.down(now, trunk, fall),
+            Event::Down(trunk, fall, unwritten) => {
+                let node = self.trunks.get(&trunk).map(|line| line.node);
+                self.hung_up.extend(node.map(|node| (trunk, node)));
+                // What was not written is owed before anybody asks whether another connection is wanted.
+                self.untaken(now, trunk, unwritten);
+                self.down(now, trunk, fall);
+                self.hung_up.remove(&trunk);
+            }
+            Event::Untaken(trunk, line) => {
+                self.let_go(now, trunk);
+                self.untaken(now, trunk, vec![line]);
+            }
             Event::Bus(news) => news.into_iter().for_each(|news| self.told(now, news)),
-            Event::Stopping => self.stopping = true,
+            Event::Stopping => self.stopping = self.stopping.or(Some(now)),
         }
     }
 
@@ -253,19 +348,41 @@
     // Viewers
 
     fn opened(&mut self, now: Instant, link: Link, from: IpAddr) {
-        if self.viewers.len() >= self.most_viewers {
+        // Some are left for those that are closing, or that find all others of use.
+        let most = (self.descriptors[0] * 9 / 10).max(1);
+        if self.viewers.values().filter(|v| !v.closing).count() >= most {
             // One that was of no use goes first, of them the oldest; then one that carries nothing.
-            let spare = |v: &Viewer| v.open.is_empty() && v.standing == 0;
-            let first =
-                self.viewers.iter().filter(|(_, v)| spare(v)).min_by_key(|(_, v)| (v.useful, v.since));
-            let Some(first) = first.map(|(&link, _)| link) else {
-                return self.actions.push(Action::CloseViewer(link));
-            };
-            self.close(first);
-        }
-        let viewer =
-            Viewer { from, since: now, idle_from: now, useful: false, open: BTreeSet::new(), standing: 0 };
+            let spare = self.viewers.iter().filter(|(_, v)| v.is_spare() && !v.closing);
+            let first = spare.min_by_key(|(_, v)| (v.useful, v.since)).map(|(&link, v)| (link, v.useful));
+            match first {
+                None => return self.actions.push(Action::CloseViewer(link)),
+                Some((first, true)) => self.close_if_quiet(first),
+                Some((first, false)) => self.close(first),
+            }
+        }
+        let viewer = Viewer {
+            from,
+            since: now,
+            idle_from: now,
+            useful: false,
+            arrived: 0,
+            open: BTreeSet::new(),
+            standing: 0,
+            closing: false,
+        };
         self.viewers.insert(link, viewer);
+        self.releases.iter_mut().filter(|r| r.on.is_none() && r.to == from).for_each(|release| {
+            release.on = Some(link);
+            self.actions.push(Action::ToViewer(link, release.line.clone()));
+        });
+    }
+
+    /// A set-up may be on its way; a viewer sends it again only where it crosses the close by a moment.
+    fn close_if_quiet(&mut self, link: Link) {
+        if let Some(viewer) = self.viewers.get_mut(&link) {
+            viewer.closing = true;
+        }
+        self.actions.push(Action::CloseIfQuiet(link));
     }
 
     fn close(&mut self, link: Link) {
@@ -276,26 +393,49 @@
     /// What is open there is given up; what stands goes on.
     fn closed(&mut self, link: Link) {
         let Some(viewer) = self.viewers.remove(&link) else { return };
+        if viewer.arrived > 0 {
+            self.arrivals.retain(|arrival| arrival.link != link);
+        }
         for sess in viewer.open {
             self.leave(sess);
         }
     }
 
-    fn said(&mut self, now: Instant, link: Link, message: Message) {
-        if !self.viewers.contains_key(&link) {
-            return;
+    /// A line that its viewer has not read. An answer: it knows of no session, which must not stay at its node. A
+    /// release is owed on another connection.
+    fn unread(&mut self, now: Instant, link: Link, line: Bytes) {
+        let told = Message::read(&line).ok();
+        if let Some(sess) = told
+            .filter(|told| told.verb == Verb::Started)
+            .and_then(|told| self.tags.get(&told.tag?).copied())
+            .filter(|sess| self.calls.get(sess).is_some_and(|call| call.link == link))
+        {
+            debug!(link = link.0, "its viewer was gone before the answer: released");
+            return self.leave(sess);
+        }
+        let sent = |release: &Release| release.on == Some(link) && release.line == line;
+        if let Some(at) = self.releases.iter().position(sent)
+            && let Some(release) = self.releases.remove(at)
+        {
+            self.send_release(now, release.to, None, release.line);
         }
+    }
+
+    fn said(&mut self, now: Instant, link: Link, message: Message) {
+        let Some(viewer) = self.viewers.get_mut(&link) else { return };
+        viewer.closing = false;
         trace!(link = link.0, ?message, "said");
         match (message.verb, message.tag) {
-            (Verb::Start, Some(tag)) => self.asked(now, link, tag, &message),
+            (Verb::Start, Some(tag)) => self.arrived(now, link, tag, message),
             (Verb::Finish, Some(tag)) => {
+                self.withdrawn(tag);
                 if let Some(&sess) = self.tags.get(&tag) {
                     self.useful(now, link);
                     self.leave(sess);
                 }
             }
             (Verb::Echo, tag) => {
-                let passed = u16::from(!self.stopping);
+                let passed = u16::from(self.stopping.is_none());
                 if passed == 1 {
                     self.begin_soon(now);
                 }
@@ -327,8 +467,39 @@
         self.actions.extend(line.map(|line| Action::ToViewer(link, line)));
     }
 
-    fn asked(&mut self, now: Instant, link: Link, tag: Tag, message: &Message) {
-        let ask = match ask::read(message, &self.site) {
+    /// A set-up waits for its turn among all that have come: until then its viewer may leave or take it back.
+    fn arrived(&mut self, now: Instant, link: Link, tag: Tag, message: Message) {
+        let Some(viewer) = self.viewers.get_mut(&link) else { return };
+        let arrival = Arrival { at: now, link, tag, message };
+        if ask::is_handed_over(&arrival.message) {
+            // Nobody waits for an answer, and the first round is to hear of all of them.
+            viewer.arrived += 1;
+            return self.asked(now, arrival);
+        }
+        if viewer.open.len() + viewer.arrived >= MOST_OPEN
+            || self.calls.len() + self.arrivals.len() >= self.start.most_sessions
+        {
+            return self.refuse(link, tag, causes::CONGESTED);
+        }
+        viewer.arrived += 1;
+        self.arrivals.push_back(arrival);
+    }
+
+    /// Its viewer has given it up before it was in hand.
+    fn withdrawn(&mut self, tag: Tag) {
+        for arrival in self.arrivals.iter().filter(|arrival| arrival.tag == tag) {
+            if let Some(viewer) = self.viewers.get_mut(&arrival.link) {
+                viewer.arrived -= 1;
+            }
+        }
+        self.arrivals.retain(|arrival| arrival.tag != tag);
+    }
+
+    fn asked(&mut self, now: Instant, Arrival { at, link, tag, message }: Arrival) {
+        if let Some(viewer) = self.viewers.get_mut(&link) {
+            viewer.arrived -= 1;
+        }
+        let ask = match ask::read(&message, &self.site) {
             Ok(ask) => ask,
             Err(trouble) => {
                 debug!(%tag, %trouble, "a set-up that can't be used");
@@ -339,7 +510,7 @@
         let held = self.tags.get(&tag).copied();
         if let Some(name) = &ask.plays_at {
             if held.is_none() {
-                self.under_way(now, link, tag, &ask, id_of(name));
+                self.under_way(now, link, tag, &ask, name);
             }
             return;
         }
@@ -351,13 +522,14 @@
             }
             return;
         }
-        if self.viewers.get(&link).is_some_and(|viewer| viewer.open.len() >= MOST_OPEN) {
+        let mut want = ask.want;
+        // Its viewer waits from when it came, also where the first round is a while off.
+        let until_first = self.begins.map_or(Span::ZERO, |begins| begins - now);
+        want.setup_timeout = want.setup_timeout - until_first - (now - at);
+        if want.setup_timeout <= Span::from_ms(ANSWER_MARGIN_MS) {
+            // Too late to be sent on, and nothing of it was.
             return self.refuse(link, tag, causes::CONGESTED);
         }
-        let mut want = ask.want;
-        // Its viewer waits from now, also where the first round is a while off.
-        let until_first = self.begins.map_or(Span::ZERO, |at| at - now);
-        want.setup_timeout = want.setup_timeout - until_first;
         let Some(sess) = self.take_in_hand(now, link, tag, Some(Box::new(ask)), None) else { return };
         self.inputs.push(Input::Asked { sess, want });
     }
@@ -386,11 +558,16 @@
         Some(sess)
     }
 
-    fn under_way(&mut self, now: Instant, link: Link, tag: Tag, ask: &Ask, node: Node) {
-        if !self.peers.contains_key(&node) {
-            // Its node is gone for all that is told: nobody would ever say that it is over.
+    fn under_way(&mut self, now: Instant, link: Link, tag: Tag, ask: &Ask, name: &str) {
+        let node = id_of(name);
+        if self.peers.get(&node).is_some_and(|peer| peer.removed) {
+            // Its node is gone: nobody would ever say that it is over.
             return self.refuse(link, tag, causes::of_over(Ending::Lost));
         }
+        if self.calls.len() >= self.start.most_sessions {
+            return self.refuse(link, tag, causes::CONGESTED);
+        }
+        self.named(now, node, name);
         let Some(sess) = self.take_in_hand(now, link, tag, None, Some((node, now))) else { return };
         self.inputs.push(Input::UnderWay { sess, want: ask.want, node });
         self.stands(now, sess, node);
@@ -405,6 +582,7 @@
             viewer.open.remove(&sess);
         }
         self.inputs.push(Input::Left { sess });
+        self.recall_unsent(sess);
         self.settle(sess);
     }
 
@@ -430,20 +608,39 @@
     /// On the connection of its set-up, or on any other of the same client.
     pub(crate) fn tell_viewer(&mut self, sess: Sess, line: Bytes) {
         let Some(call) = self.calls.get(&sess) else { return };
-        let own = Some(call.link).filter(|link| self.viewers.contains_key(link));
-        let other = || self.viewers.iter().find(|(_, v)| v.from == call.from).map(|(&link, _)| link);
-        if let Some(link) = own.or_else(other) {
+        let (own, from) = (call.link, call.from);
+        if let Some(link) = self.connection_of(from, Some(own)) {
             self.actions.push(Action::ToViewer(link, line));
         }
     }
 
+    /// The connection asked for, if it is open; else another of the same client, one that isn't about to close first.
+    fn connection_of(&self, client: IpAddr, own: Option<Link>) -> Option<Link> {
+        let own = own.filter(|link| self.viewers.contains_key(link));
+        let others = || self.viewers.iter().filter(|(_, v)| v.from == client);
+        own.or_else(|| others().min_by_key(|(_, v)| v.closing).map(|(&link, _)| link))
+    }
+
+    /// Until it has been written a release is owed: where its client has no connection, it waits for one.
+    fn send_release(&mut self, now: Instant, to: IpAddr, own: Option<Link>, line: Bytes) {
+        let on = self.connection_of(to, own);
+        if let Some(link) = on {
+            self.actions.push(Action::ToViewer(link, line.clone()));
+        }
+        if self.releases.len() >= MOST_OWED {
+            self.releases.pop_front();
+        }
+        self.releases.push_back(Release { at: now, to, on, line });
+    }
+
     /// A session that stood is over: its viewer is released, if owed, and nothing is kept.
-    pub(crate) fn over(&mut self, sess: Sess, how: Ending, owed: bool) {
+    pub(crate) fn over(&mut self, now: Instant, sess: Sess, how: Ending, owed: bool) {
         self.inputs.push(Input::Over { sess, how });
-        let Some(tag) = self.calls.get(&sess).map(|call| call.tag) else { return };
+        let Some(call) = self.calls.get(&sess) else { return };
+        let (tag, from, link) = (call.tag, call.from, call.link);
         let line = message::write(Verb::Finish, tag, &[], Some(causes::of_over(how)), None);
         if let Some(line) = line.filter(|_| owed) {
-            self.tell_viewer(sess, line);
+            self.send_release(now, from, Some(link), line);
         }
         self.forget_standing(sess);
         self.settle(sess);
@@ -473,9 +670,19 @@
     fn look_at_viewers(&mut self, now: Instant) {
         let done = |v: &Viewer| {
             let (after, from) = if v.useful { (IDLE, v.idle_from) } else { (SILENT, v.since) };
-            v.open.is_empty() && v.standing == 0 && now - from > Span::from_secs(after)
+            v.is_spare() && now - from > Span::from_secs(after)
         };
-        let done: Vec<Link> = self.viewers.iter().filter(|(_, v)| done(v)).map(|(&link, _)| link).collect();
-        done.into_iter().for_each(|link| self.close(link));
+        let done = self.viewers.iter().filter(|(_, v)| done(v)).map(|(&link, v)| (link, v.useful));
+        for (link, useful) in done.collect::<Vec<_>>() {
+            if useful {
+                self.close_if_quiet(link);
+            } else {
+                self.close(link);
+            }
+        }
+        let past = |release: &Release| now - release.at > Span::from_secs(OWED);
+        while self.releases.front().is_some_and(past) {
+            self.releases.pop_front();
+        }
     }
 }
--- a/crates/platform/src/bus.rs
+++ b/crates/platform/src/bus.rs
@@ -7,7 +7,8 @@
 use ashglade::interface::Place;
 use ashglade::time::Instant;
 use ashglade_site::{Names, place};
-use serde::Deserialize;
+use serde::{Deserialize, Deserializer};
+use tracing::warn;
 
 /// A media node's id: from its name, so that it is the same at every director and after restarts, while one that
 /// takes the address of another is another node.
@@ -36,10 +37,22 @@
 struct Topology {
     #[serde(default)]
     snapshot: bool,
-    #[serde(default)]
+    #[serde(default, deserialize_with = "readable")]
     endpoints: Vec<Endpoint>,
 }
 
+/// Those that can be read. One that can't is told with its place and field, and keeps nobody from hearing of the others.
+fn readable<'de, D: Deserializer<'de>>(deserializer: D) -> Result<Vec<Endpoint>, D::Error> {
+    let all = Vec::<serde_json::Value>::deserialize(deserializer)?;
+    let read = |(at, value): (usize, serde_json::Value)| {
+        let name = value.get("name").map(ToString::to_string);
+        serde_path_to_error::deserialize::<_, Endpoint>(value)
+            .inspect_err(|error| warn!(at, name, field = %error.path(), error = %error.inner(), "left out of the list"))
+            .ok()
+    };
+    Ok(all.into_iter().enumerate().filter_map(read).collect())
+}
+
 #[derive(Clone, Debug, Deserialize)]
 struct Endpoint {
     name: String,
--- a/crates/platform/src/config.rs
+++ b/crates/platform/src/config.rs
@@ -15,9 +15,11 @@
     pub limits: Limits,
     pub known: Batch,
     pub site: Site,
+    /// As they stood, so that a change is seen.
+    settings: Box<str>,
 }
 
-#[derive(Clone, Copy, Debug, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Deserialize)]
 pub struct Limits {
     pub memory_mb: f64,
     pub sockets: usize,
@@ -50,7 +52,20 @@
             return Err(format!("limits.memory_mb: {} leave no room to serve in", raw.limits.memory_mb));
         }
         let site = ashglade_site::read(seed, raw.settings.get().as_bytes())?;
+        let settings = raw.settings.get().into();
         let Raw { name, listen, bus, limits, known, .. } = raw;
-        Ok(Config { name, listen, bus, limits, known, site })
+        Ok(Config { name, listen, bus, limits, known, site, settings })
+    }
+
+    /// The fields that a running director doesn't take from a new configuration, where they differ. The list comes by
+    /// the bus, and the seed is of one start.
+    pub fn waits_for_a_restart(&self, held: &Config) -> Vec<&'static str> {
+        let differ = [
+            ("name", self.name != held.name),
+            ("listen", self.listen != held.listen),
+            ("limits", self.limits != held.limits),
+            ("settings", self.settings != held.settings),
+        ];
+        differ.into_iter().filter(|(_, differs)| *differs).map(|(name, _)| name).collect()
     }
 }
--- a/crates/platform/src/peers.rs
+++ b/crates/platform/src/peers.rs
@@ -27,8 +27,13 @@
 const GONE: f64 = 5.0;
 /// A connection that breaks so soon after its last word was not lost with its machine.
 const FRESH: f64 = 2.0;
-/// Between attempts at a connection that is wanted for what stands there.
+/// Between attempts at a connection that is wanted for what stands there, and for what is owed there alone, where each
+/// that fails doubles it.
 const REDIAL: f64 = 0.25;
+/// What is owed to a node that takes no connection is owed so long, and what was written on one that broke as long ago.
+const LETTER: f64 = 8.0;
+/// A node that sessions are handed over at, and that the list doesn't tell of within so long, is gone.
+const UNLISTED: f64 = 2.0;
 /// Connections to one node, and lines that wait for one, at most.
 const MOST_TRUNKS: usize = 4;
 const MOST_LETTERS: usize = 1024;
@@ -38,30 +43,58 @@
 pub(crate) struct Peer {
     name: String,
     address: Option<SocketAddr>,
-    removed: bool,
+    /// The list has told of it; a session that is handed over may be told of first.
+    listed: bool,
+    pub removed: bool,
     trunks: BTreeSet<Trunk>,
     /// Sessions whose SETUP waits for a connection, and probes.
     waiting: VecDeque<Sess>,
     probes: Vec<u64>,
-    /// Lines that any connection may carry: releases, new rungs.
-    letters: VecDeque<Bytes>,
+    /// Lines that any connection may carry: releases, new rungs; each with since when it is owed.
+    letters: VecDeque<(Instant, Bytes)>,
     pub standing: BTreeSet<Sess>,
     heard: Instant,
     tested: Option<Instant>,
     dialed: Instant,
+    /// Connections in a row that did not come up.
+    never_up: u32,
     /// Since when a SETUP's end leaves open whether its process has started again.
     doubted: Option<Instant>,
     /// A connection was lost just after it carried a word: one that comes up at once shows that the process goes on.
     broke: Option<Instant>,
 }
 
+impl Peer {
+    fn new(name: String, now: Instant) -> Peer {
+        Peer {
+            name,
+            address: None,
+            listed: false,
+            removed: false,
+            trunks: BTreeSet::new(),
+            waiting: VecDeque::new(),
+            probes: Vec::new(),
+            letters: VecDeque::new(),
+            standing: BTreeSet::new(),
+            heard: now,
+            tested: None,
+            dialed: Instant::LONG_AGO,
+            never_up: 0,
+            doubted: None,
+            broke: None,
+        }
+    }
+}
+
 /// A connection to a node.
 pub(crate) struct Line {
-    node: Node,
+    pub node: Node,
     up: bool,
     made: Instant,
     heard: Instant,
     open: BTreeSet<Sess>,
+    /// Releases written here that the node has not confirmed.
+    released: VecDeque<(Instant, Tag)>,
     /// Tests out, with the engine's number where it asked for one.
     echoes: BTreeMap<Tag, Option<u64>>,
 }
@@ -84,34 +117,26 @@
             };
             nodes.push(Told { node: entry.node, standing });
             let name = entry.name;
-            let peer = self.peers.entry(entry.node).or_insert_with(|| Peer {
-                name,
-                address: None,
-                removed: false,
-                trunks: BTreeSet::new(),
-                waiting: VecDeque::new(),
-                probes: Vec::new(),
-                letters: VecDeque::new(),
-                standing: BTreeSet::new(),
-                heard: now,
-                tested: None,
-                dialed: Instant::LONG_AGO,
-                doubted: None,
-                broke: None,
-            });
+            let peer = self.peers.entry(entry.node).or_insert_with(|| Peer::new(name, now));
+            peer.listed = true;
             peer.removed = entry.removed;
+            let unknown = peer.address.is_none();
             peer.address = entry.address.or(peer.address).filter(|_| !entry.removed);
+            let wanted = unknown && peer.address.is_some() && !peer.standing.is_empty();
             if entry.removed {
                 peer.letters.clear();
             }
             if let Some(started) = entry.place.started {
                 self.started_again(now, entry.node, started);
             }
+            if wanted {
+                self.dial(now, entry.node);
+            }
         }
         for node in left {
             nodes.push(Told { node, standing: Standing::Gone });
             if let Some(peer) = self.peers.get_mut(&node) {
-                (peer.removed, peer.address) = (true, None);
+                (peer.listed, peer.removed, peer.address) = (true, true, None);
                 peer.letters.clear();
             }
         }
@@ -127,19 +152,24 @@
             |sess: &Sess| self.calls.get(sess).and_then(|call| call.at).is_some_and(|at| at.1 < started);
         let lost: Vec<Sess> = peer.standing.iter().copied().filter(since).collect();
         for sess in lost {
-            self.over(sess, Ending::Lost, true);
+            self.over(now, sess, Ending::Lost, true);
         }
         for trunk in old {
             self.let_go(now, trunk);
         }
     }
 
+    /// A session is handed over that plays at a node of this name, of which the list may tell a moment later.
+    pub(crate) fn named(&mut self, now: Instant, node: Node, name: &str) {
+        self.peers.entry(node).or_insert_with(|| Peer::new(name.to_string(), now));
+    }
+
     pub(crate) fn up(&mut self, now: Instant, trunk: Trunk) {
         let Some(line) = self.trunks.get_mut(&trunk) else { return };
         (line.up, line.heard) = (true, now);
         let node = line.node;
         let Some(peer) = self.peers.get_mut(&node) else { return };
-        peer.heard = now;
+        (peer.heard, peer.never_up) = (now, 0);
         // A process that ended takes no connection for a while, and a machine that vanished had said nothing for long.
         if peer.broke.take().is_some_and(|at| now - at <= self.site.dial_timeout)
             && peer.doubted.take().is_some()
@@ -152,7 +182,9 @@
         // One that failed its test is of no more use now that there is another.
         let failed = peer.tested.take().is_some_and(|at| now - at > Span::from_secs(TEST));
         let old: Vec<Trunk> = peer.trunks.iter().copied().filter(|&t| failed && t != trunk).collect();
-        self.actions.extend(letters.into_iter().map(|line| Action::ToNode(trunk, line)));
+        for (_, line) in letters {
+            self.write(now, trunk, line);
+        }
         for sess in waiting {
             self.send(now, sess, trunk);
         }
@@ -178,6 +210,9 @@
             (peer.heard, peer.tested) = (now, None);
         }
         let Some(tag) = message.tag else { return self.spoil(now, trunk) };
+        if matches!(message.verb, Verb::Finish | Verb::Finished) {
+            line.released.retain(|&(_, released)| released != tag);
+        }
         let load = message.opts.get("load").map(read_load);
         let sess = self.tags.get(&tag).copied();
         let call = sess.and_then(|sess| self.calls.get(&sess));
@@ -229,7 +264,7 @@
                         let (how, owed) = causes::of_session(cause);
                         let stood = self.calls.get(&sess).and_then(|call| call.at).map(|(_, since)| since);
                         let unbroken = made.zip(stood).is_some_and(|(made, stood)| made <= stood);
-                        self.over(sess, how, owed);
+                        self.over(now, sess, how, owed);
                         self.spoke(node, how, unbroken);
                     }
                     _ => {}
@@ -297,41 +332,59 @@
             // It may have run, and may stand there unknown to us.
             let tag = call.tag;
             self.inputs.push(Input::Ended { sess, setup: out.setup, how: Ending::Lost, load: None });
-            self.owe(node, tag);
+            self.owe(now, node, tag);
             self.settle(sess);
         }
         for probe in line.echoes.into_values().flatten() {
             self.inputs.push(Input::Probed { probe, load: None });
         }
+        // It may have gone with the connection.
+        for (_, tag) in line.released.into_iter().filter(|(at, _)| now - *at <= Span::from_secs(LETTER)) {
+            self.owe(now, node, tag);
+        }
         let Some(peer) = self.peers.get_mut(&node) else { return };
         peer.trunks.remove(&trunk);
-        if fall == Fall::NeverUp && peer.standing.is_empty() {
-            // Nobody is there to be told anything.
-            peer.letters.clear();
+        if fall == Fall::NeverUp {
+            peer.never_up = (peer.never_up + 1).min(16);
         }
         if fall == Fall::Refused {
-            // Its process has ended.
-            self.lose_all(node);
+            // Its process has ended, and with it what stood there when the connection was begun.
+            self.lose_all(now, node, line.made);
         }
-        self.no_trunk_for_waiting(node);
+        self.no_trunk_for_waiting(node, fall);
         let Some(peer) = self.peers.get(&node) else { return };
-        let wanted = !peer.standing.is_empty() || !peer.letters.is_empty() || peer.broke.is_some();
+        let letters = !peer.letters.is_empty() && peer.never_up == 0;
+        let wanted = !peer.standing.is_empty() || letters || peer.broke.is_some();
         if wanted && peer.trunks.is_empty() && now - peer.dialed > Span::from_secs(REDIAL) {
             self.dial(now, node);
         }
     }
 
-    /// All that stood at the node is lost, and nobody is there to be told anything.
-    fn lose_all(&mut self, node: Node) {
+    /// All that stood at the node by then is lost, and nobody is there to be told anything.
+    fn lose_all(&mut self, now: Instant, node: Node, by: Instant) {
         let Some(peer) = self.peers.get_mut(&node) else { return };
-        peer.letters.clear();
-        for sess in std::mem::take(&mut peer.standing) {
-            self.over(sess, Ending::Lost, true);
+        peer.letters.retain(|(since, _)| *since > by);
+        let stood = |sess: &Sess| self.calls.get(sess).and_then(|call| call.at).is_none_or(|at| at.1 <= by);
+        let lost: Vec<Sess> = peer.standing.iter().copied().filter(stood).collect();
+        for sess in lost {
+            self.over(now, sess, Ending::Lost, true);
         }
     }
 
+    /// What waits for a connection is not begun for one that has gone, whether or not the settings let a SETUP be given up.
+    pub(crate) fn recall_unsent(&mut self, sess: Sess) {
+        let Some(call) = self.calls.get_mut(&sess) else { return };
+        let Some(out) = call.out.take_if(|out| out.sent.is_none()) else { return };
+        if let Some(peer) = self.peers.get_mut(&out.node) {
+            peer.waiting.retain(|&other| other != sess);
+        }
+        self.inputs.push(Input::Ended { sess, setup: out.setup, how: Ending::Unsent, load: None });
+    }
+
     /// What waits for a connection can't have one, if none is on its way.
-    fn no_trunk_for_waiting(&mut self, node: Node) {
+    fn no_trunk_for_waiting(&mut self, node: Node, fall: Fall) {
+        // For want of a descriptor of ours nothing was tried.
+        let how = if fall == Fall::Wanting { Ending::Unsent } else { Ending::Unreachable };
         let Some(peer) = self.peers.get_mut(&node) else { return };
         if peer.trunks.iter().any(|trunk| self.trunks.get(trunk).is_some_and(|line| !line.up)) {
             return;
@@ -339,7 +392,7 @@
         let (waiting, probes) = (std::mem::take(&mut peer.waiting), std::mem::take(&mut peer.probes));
         for sess in waiting {
             let Some(out) = self.calls.get_mut(&sess).and_then(|call| call.out.take()) else { continue };
-            self.inputs.push(Input::Ended { sess, setup: out.setup, how: Ending::Unreachable, load: None });
+            self.inputs.push(Input::Ended { sess, setup: out.setup, how, load: None });
             self.settle(sess);
         }
         self.inputs.extend(probes.into_iter().map(|probe| Input::Probed { probe, load: None }));
@@ -356,11 +409,18 @@
         call.out = Some(out);
         match self.trunk(now, node) {
             Some(trunk) => self.send(now, sess, trunk),
-            None => {
-                if let Some(peer) = self.peers.get_mut(&node) {
+            None => match self.peers.get_mut(&node) {
+                Some(peer) if peer.trunks.iter().any(|t| self.trunks.get(t).is_some_and(|line| !line.up)) => {
                     peer.waiting.push_back(sess);
                 }
-            }
+                // All it may have are full, or we may have no more: nothing was tried.
+                _ => {
+                    if let Some(call) = self.calls.get_mut(&sess) {
+                        call.out = None;
+                    }
+                    self.inputs.push(Input::Ended { sess, setup, how: Ending::Unsent, load: None });
+                }
+            },
         }
     }
 
@@ -369,6 +429,12 @@
         let Some(call) = self.calls.get_mut(&sess) else { return };
         let (Some(out), Some(ask)) = (call.out.as_mut(), call.ask.as_ref()) else { return };
         let setup = out.setup;
+        if call.answered || now >= out.until {
+            // Nobody waits for it any longer.
+            call.out = None;
+            self.inputs.push(Input::Ended { sess, setup, how: Ending::Unsent, load: None });
+            return self.settle(sess);
+        }
         let (rung, left) = (out.rung.0.to_string(), (out.until - now).as_ms().floor().max(1.0).to_string());
         let opts =
             [("class", ask.class.as_str()), ("key", ask.key.as_str()), ("left", &left), ("rung", &rung)];
@@ -410,10 +476,11 @@
         if late && let Some(peer) = self.peers.get_mut(&node) {
             peer.doubted = Some(now);
         }
-        self.actions.extend(give_up(tag).map(|line| Action::ToNode(trunk, line)));
+        if let Some(line) = give_up(tag) {
+            self.write(now, trunk, line);
+        }
         // Not a word since it was sent: whatever the cause, nothing else open there will be answered.
         if late && self.trunks.get(&trunk).is_some_and(|line| line.heard <= at) {
-            self.owe(node, tag);
             self.let_go(now, trunk);
         }
         self.settle(sess);
@@ -486,26 +553,88 @@
     fn dial(&mut self, now: Instant, node: Node) {
         let Some(peer) = self.peers.get_mut(&node) else { return };
         let Some(address) = peer.address.filter(|_| peer.trunks.len() < MOST_TRUNKS) else { return };
+        if self.trunks.len() >= self.descriptors()[1] {
+            self.make_room(now);
+            if self.trunks.len() >= self.descriptors()[1] {
+                return;
+            }
+        }
+        let Some(peer) = self.peers.get_mut(&node) else { return };
         let trunk = Trunk(self.next_trunk);
         self.next_trunk += 1;
         peer.trunks.insert(trunk);
         peer.dialed = now;
-        let line =
-            Line { node, up: false, made: now, heard: now, open: BTreeSet::new(), echoes: BTreeMap::new() };
+        let line = Line {
+            node,
+            up: false,
+            made: now,
+            heard: now,
+            open: BTreeSet::new(),
+            released: VecDeque::new(),
+            echoes: BTreeMap::new(),
+        };
         self.trunks.insert(trunk, line);
         self.actions.push(Action::Dial(trunk, address));
     }
 
+    /// As many connections as may be: one of no use at present is closed, so that the next attempt finds room.
+    fn make_room(&mut self, now: Instant) {
+        let idle = |line: &Line| line.up && line.open.is_empty() && line.echoes.is_empty();
+        let unused = |line: &Line| self.peers.get(&line.node).is_none_or(|peer| peer.standing.is_empty());
+        let spare = self.trunks.iter().filter(|(_, line)| idle(line) && unused(line));
+        if let Some(trunk) = spare.min_by_key(|(_, line)| line.heard).map(|(&trunk, _)| trunk) {
+            debug!(trunk = trunk.0, "of no use at present: closed for want of descriptors");
+            self.let_go(now, trunk);
+        }
+    }
+
     pub(crate) fn spoil(&mut self, now: Instant, trunk: Trunk) {
-        self.actions.push(Action::HangUp(trunk));
+        self.hang_up(trunk);
         self.down(now, trunk, Fall::Spoilt);
     }
 
-    fn let_go(&mut self, now: Instant, trunk: Trunk) {
-        self.actions.push(Action::HangUp(trunk));
+    pub(crate) fn let_go(&mut self, now: Instant, trunk: Trunk) {
+        self.hang_up(trunk);
         self.down(now, trunk, Fall::Silent);
     }
 
+    fn hang_up(&mut self, trunk: Trunk) {
+        if let Some(line) = self.trunks.get(&trunk) {
+            self.hung_up.insert(trunk, line.node);
+            self.actions.push(Action::HangUp(trunk));
+        }
+    }
+
+    /// Lines that were not written before their connection ended: what must reach the node goes on another.
+    pub(crate) fn untaken(&mut self, now: Instant, trunk: Trunk, lines: Vec<Bytes>) {
+        let Some(&node) = self.hung_up.get(&trunk) else { return };
+        for line in lines {
+            let told = Message::read(&line).ok().filter(|told| told.verb == Verb::Finish);
+            if let Some(tag) = told.and_then(|told| told.tag) {
+                self.owe(now, node, tag);
+            }
+        }
+    }
+
+    /// Writes a line; a release is remembered until the node confirms it.
+    fn write(&mut self, now: Instant, trunk: Trunk, line: Bytes) {
+        let told = Message::read(&line).ok().filter(|told| told.verb == Verb::Finish);
+        if let Some(tag) = told.and_then(|told| told.tag)
+            && let Some(on) = self.trunks.get_mut(&trunk)
+        {
+            if on.released.len() >= MOST_LETTERS {
+                on.released.pop_front();
+            }
+            on.released.push_back((now, tag));
+        }
+        self.actions.push(Action::ToNode(trunk, line));
+    }
+
+    /// No line waits for a connection to a node.
+    pub(crate) fn nothing_waits_for_nodes(&self) -> bool {
+        self.peers.values().all(|peer| peer.letters.is_empty())
+    }
+
     fn echo(&mut self, trunk: Trunk, probe: Option<u64>) {
         let tag = Tag::of(self.next_echo);
         self.next_echo = self.next_echo.wrapping_add(1);
@@ -517,12 +646,13 @@
         self.actions.extend(line.map(|line| Action::ToNode(trunk, line)));
     }
 
-    fn owe(&mut self, node: Node, tag: Tag) {
-        let line = give_up(tag);
-        if let Some(peer) = self.peers.get_mut(&node)
+    fn owe(&mut self, now: Instant, node: Node, tag: Tag) {
+        let Some(line) = give_up(tag) else { return };
+        let owed = |peer: &Peer| peer.letters.iter().any(|(_, other)| *other == line);
+        if let Some(peer) = self.peers.get_mut(&node).filter(|peer| !owed(peer))
             && peer.letters.len() < MOST_LETTERS
         {
-            peer.letters.extend(line);
+            peer.letters.push_back((now, line));
         }
     }
 
@@ -540,10 +670,10 @@
         let Some(peer) = self.peers.get_mut(&node) else { return };
         let up = |trunk: &&Trunk| self.trunks.get(trunk).is_some_and(|line| line.up);
         if let Some(&trunk) = peer.trunks.iter().rev().find(up) {
-            return self.actions.push(Action::ToNode(trunk, line));
+            return self.write(now, trunk, line);
         }
         if peer.letters.len() < MOST_LETTERS {
-            peer.letters.push_back(line);
+            peer.letters.push_back((now, line));
         }
         if peer.trunks.is_empty() {
             self.dial(now, node);
@@ -560,26 +690,31 @@
     fn look_at(&mut self, now: Instant, node: Node) {
         let Some(peer) = self.peers.get_mut(&node) else { return };
         let after = |at: Instant, secs: f64| now - at > Span::from_secs(secs);
-        if peer.address.is_none() {
+        if peer.address.is_none() && peer.listed {
             // No longer listed: nobody is there to be told. A line owed since must not keep what stood there from its end.
             peer.letters.clear();
         }
-        if peer.trunks.is_empty() && !peer.letters.is_empty() && after(peer.dialed, REDIAL) {
+        peer.letters.retain(|(since, _)| !after(*since, LETTER));
+        let pause = REDIAL * f64::from(1u32 << peer.never_up.min(5));
+        if peer.trunks.is_empty() && !peer.letters.is_empty() && after(peer.dialed, pause) {
             return self.dial(now, node);
         }
         if peer.standing.is_empty() {
             let open = |trunk: &Trunk| self.trunks.get(trunk).is_some_and(|line| !line.open.is_empty());
-            if peer.removed && peer.waiting.is_empty() && !peer.trunks.iter().any(open) {
+            let unlisted = !peer.listed && peer.letters.is_empty();
+            if (peer.removed || unlisted) && peer.waiting.is_empty() && !peer.trunks.iter().any(open) {
                 let trunks = peer.trunks.clone();
                 trunks.into_iter().for_each(|trunk| self.let_go(now, trunk));
                 self.peers.remove(&node);
             }
             return;
         }
-        if after(peer.heard, GONE) || (peer.trunks.is_empty() && peer.address.is_none()) {
+        let listed = peer.listed || after(peer.heard, UNLISTED);
+        let gone = listed && peer.trunks.is_empty() && peer.address.is_none();
+        if after(peer.heard, GONE) || gone {
             debug!(name = peer.name, standing = peer.standing.len(), "a node is gone unsaid");
             let trunks = peer.trunks.clone();
-            self.lose_all(node);
+            self.lose_all(now, node, now);
             return trunks.into_iter().for_each(|trunk| self.let_go(now, trunk));
         }
         let up = |trunk: &&Trunk| self.trunks.get(trunk).is_some_and(|line| line.up);
--- a/crates/platform/src/tests.rs
+++ b/crates/platform/src/tests.rs
@@ -51,7 +51,11 @@
 
     /// One that has passed its first test just now.
     fn tested() -> Stage {
-        let config = Config::read(CONFIG).unwrap();
+        Stage::tested_with(CONFIG)
+    }
+
+    fn tested_with(config: &str) -> Stage {
+        let config = Config::read(config).unwrap();
         let now = Instant::from_ms(1e9);
         let mut board = Board::new(&config, now);
         let news = config.known.clone().after(0).into_iter().map(|e| e.news(&config.site.names)).collect();
@@ -62,11 +66,17 @@
     }
 
     pub fn turn(&mut self, events: impl IntoIterator<Item = Event>) -> &mut Stage {
+        let mut quiet = Vec::new();
         for action in self.board.turn(self.now, events) {
             let text = |line: &Bytes| String::from_utf8_lossy(line).trim_end().replace("00000000000000", "");
             let told = match action {
                 Action::ToViewer(link, line) => format!("viewer {} < {}", link.0, text(&line)),
                 Action::CloseViewer(link) => format!("viewer {} closed", link.0),
+                // Nothing of its viewer's is on the way.
+                Action::CloseIfQuiet(link) => {
+                    quiet.push(Event::Closed(link, Vec::new()));
+                    format!("viewer {} closed", link.0)
+                }
                 Action::Dial(trunk, address) => {
                     let name =
                         ["a", "b", "c"].get(usize::from(address.ip().to_string().as_bytes()[7] - b'1'));
@@ -80,6 +90,9 @@
             };
             let _ = writeln!(self.shown, "{told}");
         }
+        if !quiet.is_empty() {
+            self.turn(quiet);
+        }
         self
     }
 
@@ -107,7 +120,7 @@
 
     pub fn down(&mut self, name: &str, fall: Fall) -> &mut Stage {
         let trunk = self.trunk(name);
-        self.turn([Event::Down(trunk, fall)])
+        self.turn([Event::Down(trunk, fall, Vec::new())])
     }
 
     pub fn node(&mut self, name: &str, verb: &str, tag: u64, rest: &str) -> &mut Stage {
@@ -201,7 +214,7 @@
     stage.says(2, r#"{"verb":"FINISH","tag":"0000000000000077","opts":{},"rc":16}"#);
     stage.says(2, r#"{"verb":"STARTED","tag":"0000000000000001","opts":{},"blob":"m=1"}"#);
     // Half a session and a close: given up at its node.
-    stage.turn([Event::Closed(Link(1))]).shows(expect![[r#"
+    stage.turn([Event::Closed(Link(1), Vec::new())]).shows(expect![[r#"
         viewer 2 closed
         node c1 < {"verb":"FINISH","tag":"01","opts":{},"rc":16}
     "#]]);
@@ -223,6 +236,7 @@
         viewer 0 < {"verb":"FINISH","tag":"a0","opts":{},"rc":41}
         hang up a0
         hang up a3
+        dial a4
         after 5399 ms:
         viewer 0 closed
     "#]]);
@@ -676,3 +690,281 @@
         viewer 0 closed
     "#]]);
 }
+
+/// Turned round by what it is to be told of, for stories in which two events meet in one turn.
+impl Stage {
+    fn said(link: u64, line: &str) -> Event {
+        Event::Said(Link(link), Message::read(line.as_bytes()).unwrap())
+    }
+
+    fn closes(link: u64) -> Event {
+        Event::Closed(Link(link), Vec::new())
+    }
+
+    /// The same director where the settings or limits differ.
+    fn begun_with(from: &str, to: &str) -> Stage {
+        assert!(CONFIG.contains(from));
+        let mut stage = Stage::tested_with(&CONFIG.replace(from, to));
+        stage.says(0, &start(HANDED_OVER, "home:0;copies:3;top:2;at:a", "handed over"));
+        stage.waits(101.0).shown();
+        stage
+    }
+}
+
+#[test]
+fn a_viewer_that_goes_in_the_turn_in_which_a_connection_comes_up_has_gone() {
+    for cancelling in ["true", "false"] {
+        for first_up in [true, false] {
+            let mut stage =
+                Stage::begun_with(r#""cancelling": true"#, &format!(r#""cancelling": {cancelling}"#));
+            stage.up("a0").opens(1).asks(1, 0x01).shown();
+            let up = Event::Up(stage.trunk("c1"));
+            let events = if first_up { [up, Stage::closes(1)] } else { [Stage::closes(1), up] };
+            stage.turn(events).shows(expect![[""]]);
+            // Nor is anything of it left: the next one is set up at once.
+            stage.opens(2).asks(2, 0x02);
+            assert!(stage.shown().contains(r#""tag":"02""#), "cancelling {cancelling}, up first {first_up}");
+        }
+    }
+}
+
+#[test]
+fn a_flood_delays_no_close_and_no_cancel() {
+    let mut stage = Stage::begun();
+    stage.up("a0").opens(1).opens(2).opens(3).shown();
+    let asks = |link, tag| Stage::said(link, &start(tag, "home:0;copies:3;top:0", "v=0"));
+    // One that goes and one that takes its set-up back, behind a hundred others.
+    let mut events: Vec<Event> = (0x100..0x164).map(|tag| asks(1, tag)).collect();
+    events.extend([asks(2, 0x02), asks(3, 0x03)]);
+    stage.turn(events);
+    let cancel = r#"{"verb":"FINISH","tag":"0000000000000003","opts":{},"rc":16}"#;
+    stage.turn([Stage::closes(2), Stage::said(3, cancel)]).turn([]).turn([]).turn([]);
+    let shown = stage.shown();
+    assert!(!shown.contains(r#""tag":"02""#) && !shown.contains(r#""tag":"03""#), "{shown}");
+    // The others have all been looked at, in four turns.
+    assert_eq!(stage.board.tally().unwrap().asked, 100);
+    assert!(stage.board.next_due() > stage.now);
+}
+
+#[test]
+fn a_set_up_that_waits_for_its_turn_goes_on_using_its_time() {
+    let mut stage = Stage::begun();
+    stage.up("a0").opens(1).shown();
+    let hurried = start(0x02, "home:0;copies:3;top:0", "v=0").replace("3000", "200");
+    let flood = (0x100..0x140).map(|tag| Stage::said(1, &start(tag, "home:0;copies:3;top:0", "v=0")));
+    let events: Vec<Event> = flood.chain([Stage::said(1, &hurried)]).collect();
+    // The machine gives us no turn for a while, of which all but the last 20 ms are over then.
+    stage.turn(events).turn([]);
+    stage.now = stage.now + Span::from_ms(500.0);
+    stage.turn([]);
+    let shown = stage.shown();
+    let told: Vec<&str> = shown.lines().filter(|line| line.contains(r#""tag":"02""#)).collect();
+    assert_eq!(told, [r#"viewer 1 < {"verb":"FINISH","tag":"02","opts":{},"rc":42}"#]);
+}
+
+#[test]
+fn an_answer_that_was_not_written_releases_its_session() {
+    let mut stage = Stage::begun();
+    stage.up("a0").opens(1).asks(1, 0x01).up("c1");
+    stage.node("c1", "STARTED", 0x01, r#","opts":{},"blob":"m=1""#).shown();
+    let answer = r#"{"verb":"STARTED","tag":"0000000000000001","opts":{},"blob":"m=1"}"#;
+    stage.turn([Event::Closed(Link(1), vec![Bytes::from(format!("{answer}\n"))])]).shows(expect![[r#"
+        node c1 < {"verb":"FINISH","tag":"01","opts":{},"rc":16}
+    "#]]);
+}
+
+#[test]
+fn a_release_is_owed_until_its_client_has_a_connection_and_for_eight_seconds() {
+    let owed = |ms| {
+        let mut stage = Stage::begun();
+        stage.up("a0").turn([Stage::closes(0)]).node("a0", "FINISH", 0xa0, r#","opts":{},"rc":16"#);
+        stage.waits(ms).shown();
+        // Another client's connection, then one of the same, then another of the same.
+        stage.opens(1);
+        stage.turn([Event::Opened(Link(2), IpAddr::from([10, 9, 9, 0]))]);
+        stage.turn([Event::Opened(Link(3), IpAddr::from([10, 9, 9, 0]))]);
+        stage.shown()
+    };
+    expect![[r#"
+        viewer 2 < {"verb":"FINISH","tag":"a0","opts":{},"rc":16}
+    "#]]
+    .assert_eq(&owed(7000.0));
+    assert_eq!(owed(9000.0), "");
+}
+
+#[test]
+fn a_release_that_was_not_written_goes_on_another_connection() {
+    let mut stage = Stage::begun();
+    stage.up("a0").turn([Event::Opened(Link(1), IpAddr::from([10, 9, 9, 0]))]).shown();
+    stage.node("a0", "FINISH", 0xa0, r#","opts":{},"rc":16"#);
+    let line = Bytes::from("{\"verb\":\"FINISH\",\"tag\":\"00000000000000a0\",\"opts\":{},\"rc\":16}\n");
+    stage.turn([Event::Unread(Link(0), line)]).shows(expect![[r#"
+        viewer 0 < {"verb":"FINISH","tag":"a0","opts":{},"rc":16}
+        viewer 1 < {"verb":"FINISH","tag":"a0","opts":{},"rc":16}
+    "#]]);
+}
+
+#[test]
+fn a_line_owed_to_a_node_outlives_connections_that_never_come_up() {
+    let mut stage = Stage::begun();
+    stage.up("a0").opens(1).asks(1, 0x01).up("c1").turn([Stage::closes(1)]).shown();
+    // What was written may have gone with the connection.
+    stage.down("c1", Fall::Lost).waits(600.0).shows(expect![[r#"
+        after 399 ms:
+        dial c2
+        node a0 < {"verb":"RATE","tag":"a0","opts":{"rung":"1"}}
+    "#]]);
+    stage.down("c2", Fall::NeverUp).waits(800.0).shows(expect![[r#"
+        after 549 ms:
+        dial c3
+    "#]]);
+    stage.down("c3", Fall::NeverUp).waits(1500.0).shows(expect![[r#"
+        after 999 ms:
+        dial c4
+    "#]]);
+    stage.up("c4").shows(expect![[r#"
+        node c4 < {"verb":"FINISH","tag":"01","opts":{},"rc":16}
+    "#]]);
+}
+
+#[test]
+fn a_release_that_a_node_confirmed_is_not_sent_again() {
+    let mut stage = Stage::begun();
+    stage.up("a0").opens(1).asks(1, 0x01).up("c1");
+    stage.node("c1", "STARTED", 0x01, r#","opts":{},"blob":"m=1""#);
+    stage.says(1, r#"{"verb":"FINISH","tag":"0000000000000001","opts":{},"rc":16}"#).shown();
+    stage
+        .node("c1", "FINISH", 0x01, r#","opts":{},"rc":31"#)
+        .down("c1", Fall::Lost)
+        .waits(300.0)
+        .shows(expect![[""]]);
+}
+
+#[test]
+fn a_refused_connection_ends_what_stood_when_it_was_begun_and_nothing_later() {
+    let mut stage = Stage::begun();
+    stage.up("a0").shown();
+    // No word for a while: tested, then tried anew; while that is on its way the node answers after all, and sets another up.
+    stage.waits(4400.0).shown();
+    asks_one_node_at(&mut stage, 0x01, 0).node("a0", "STARTED", 0x01, r#","opts":{},"blob":"m=1""#).shown();
+    stage.down("a1", Fall::Refused).shows(expect![[r#"
+        viewer 0 < {"verb":"FINISH","tag":"a0","opts":{},"rc":41}
+    "#]]);
+}
+
+fn asks_one_node_at(stage: &mut Stage, tag: u64, home: u16) -> &mut Stage {
+    stage.opens(7).says(7, &start(tag, &format!("home:{home};copies:1;top:0"), "v=0"))
+}
+
+#[test]
+fn want_of_descriptors_of_ours_says_nothing_of_a_node() {
+    let mut stage = Stage::begun();
+    stage.up("a0").opens(1);
+    asks_one_node(&mut stage, 1..2).down("c1", Fall::Wanting).shows(expect![[r#"
+        viewer 0 < {"verb":"ECHOED","tag":"ee","opts":{},"rc":1}
+        dial a0
+        dial c1
+        viewer 1 < {"verb":"FINISH","tag":"01","opts":{},"rc":34}
+    "#]]);
+    // Not held for cold: all that come next are set up there.
+    asks_one_node(&mut stage, 2..8).up("c2").shows(expect![[r#"
+        dial c2
+        node c2 < {"verb":"START","tag":"02","opts":{"class":"clip","key":"7f3a","left":"400","rung":"0"},"blob":"v=0"}
+        node c2 < {"verb":"START","tag":"03","opts":{"class":"clip","key":"7f3a","left":"400","rung":"0"},"blob":"v=0"}
+        node c2 < {"verb":"START","tag":"04","opts":{"class":"clip","key":"7f3a","left":"400","rung":"0"},"blob":"v=0"}
+        node c2 < {"verb":"START","tag":"05","opts":{"class":"clip","key":"7f3a","left":"400","rung":"0"},"blob":"v=0"}
+        node c2 < {"verb":"START","tag":"06","opts":{"class":"clip","key":"7f3a","left":"400","rung":"0"},"blob":"v=0"}
+        node c2 < {"verb":"START","tag":"07","opts":{"class":"clip","key":"7f3a","left":"400","rung":"0"},"blob":"v=0"}
+    "#]]);
+}
+
+#[test]
+fn connections_to_nodes_stay_within_their_part_of_the_descriptors() {
+    let mut stage = Stage::begun_with(r#""sockets": 64"#, r#""sockets": 18"#);
+    // Two for nodes. One is with a session; the other, of no use any longer, gives way.
+    stage.up("a0").says(0, &start(0x01, "home:1;copies:1;top:0", "v=0")).up("b1");
+    stage.node("b1", "STARTED", 0x01, r#","opts":{},"blob":"m=1""#);
+    stage.says(0, r#"{"verb":"FINISH","tag":"0000000000000001","opts":{},"rc":16}"#);
+    stage.node("b1", "FINISH", 0x01, r#","opts":{},"rc":31"#).shown();
+    stage.says(0, &start(0x02, "home:2;copies:1;top:0", "v=0")).shows(expect![[r#"
+        hang up b1
+        dial c2
+    "#]]);
+}
+
+#[test]
+fn a_connection_that_comes_up_when_the_time_is_over_writes_nothing() {
+    let mut stage = Stage::begun();
+    stage.up("a0").opens(1).asks(1, 0x01).shown();
+    let up = Event::Up(stage.trunk("c1"));
+    // We stood still meanwhile.
+    stage.now = stage.now + Span::from_ms(3500.0);
+    stage.turn([up]).shows(expect![[r#"
+        viewer 1 < {"verb":"FINISH","tag":"01","opts":{},"rc":41}
+        node a0 < {"verb":"RATE","tag":"a0","opts":{"rung":"1"}}
+    "#]]);
+}
+
+#[test]
+fn full_connections_to_a_node_are_no_reason_to_wait() {
+    let mut stage = Stage::begun_with(r#""dialTimeout": 250"#, r#""dialTimeout": 250, "maxStreams": 1"#);
+    stage.up("a0").opens(1);
+    for (tag, name) in [(1, "c1"), (2, "c2"), (3, "c3"), (4, "c4")] {
+        asks_one_node(&mut stage, tag..tag + 1).up(name);
+    }
+    stage.shown();
+    asks_one_node(&mut stage, 5..6).shows(expect![[r#"
+        viewer 1 < {"verb":"FINISH","tag":"05","opts":{},"rc":34}
+    "#]]);
+}
+
+#[test]
+fn a_session_handed_over_before_its_node_is_listed_stands_and_after_two_seconds_it_is_over() {
+    let mut stage = Stage::tested();
+    stage.says(0, &start(0xa1, "home:0;copies:3;top:2;at:d", "handed over"));
+    stage.says(0, &start(0xa2, "home:0;copies:3;top:2;at:e", "handed over"));
+    stage.waits(101.0);
+    let d = r#"{"name":"d","address":"10.0.0.1:80","zone":"east","type":"std","group":2,"status":"up","weight":4}"#;
+    stage.bus(&format!(r#"{{"offset":2,"batch":[{{"offset":2,"topology":{{"endpoints":[{d}]}}}}]}}"#), 1);
+    stage.up("a0").node("a0", "NOTICE", 0xa1, r#","opts":{"note":"r","value":1}"#).waits(2500.0).shows(
+        expect![[r#"
+            viewer 0 < {"verb":"ECHOED","tag":"ee","opts":{},"rc":1}
+            dial a0
+            after 2149 ms:
+            viewer 0 < {"verb":"FINISH","tag":"a2","opts":{},"rc":41}
+        "#]],
+    );
+}
+
+#[test]
+fn an_idle_connection_on_which_something_came_meanwhile_goes_on() {
+    let mut stage = Stage::begun();
+    stage.up("a0").opens(1).asks(1, 0x01);
+    stage.says(1, r#"{"verb":"FINISH","tag":"0000000000000001","opts":{},"rc":16}"#).shown();
+    stage.now = stage.now + Span::from_ms(5300.0);
+    // Its close is wanted, and crosses the next set-up.
+    let now = stage.now;
+    let wanted = stage.board.turn(now, []);
+    assert!(wanted.contains(&Action::CloseIfQuiet(Link(1))));
+    stage.asks(1, 0x02).waits(600.0);
+    assert!(!stage.shown().contains("viewer 1 closed"));
+}
+
+#[test]
+fn one_node_that_cant_be_read_keeps_nobody_from_hearing_of_the_others() {
+    let mut stage = Stage::begun();
+    stage.up("a0").opens(1).shown();
+    let bad =
+        r#"{"name":"x","address":"10.0.0.9:80","group":-1,"status":"up"},{"name":"y","status":"odd"},7"#;
+    let good = r#"{"name":"d","address":"10.0.0.2:80","zone":"east","type":"std","group":1,"status":"up","weight":4}"#;
+    let gone = r#"{"name":"b","status":"removed"}"#;
+    stage.bus(
+        &format!(
+            r#"{{"offset":2,"batch":[{{"offset":2,"topology":{{"endpoints":[{bad},{good},{gone}]}}}}]}}"#
+        ),
+        1,
+    );
+    stage.says(1, &start(0x01, "home:1;copies:1;top:0", "v=0")).shows(expect![[r#"
+        dial b1
+    "#]]);
+}
