--- a/crates/cli/tests/crossings.rs
+++ b/crates/cli/tests/crossings.rs
@@ -100,7 +100,9 @@
             node.is_dialled();
             stage.program.stands_still();
             let mut peer = node.opens();
+            let ends = gone.ends();
             goes(gone);
+            ends.have_it();
             stage.program.goes_on();
             let mut next = stage.viewer();
             next.asks(2, "7f");
@@ -130,7 +132,10 @@
             assert!(first.hears().contains(&tag(1)));
             stage.program.stands_still();
             first.answers("FINISH", 1, r#""rc":34"#);
+            let ends = gone.ends();
             goes(gone);
+            ends.have_it();
+            first.ends().have_it();
             stage.program.goes_on();
             let mut next = stage.viewer();
             next.asks_cells(2, "7f", 1, 1);
@@ -152,7 +157,9 @@
         viewer.says(&lines.join("\n"));
     }
     gone.asks(1, "7f");
+    let ends = gone.ends();
     drop(gone);
+    ends.is_closed();
     stage.program.goes_on();
     // All of the crowd have their answers, and one more that asks behind it.
     for viewer in &mut crowd {
@@ -177,7 +184,10 @@
         assert!(peer.hears().contains("START"));
         stage.program.stands_still();
         peer.answers("STARTED", 1, r#""blob":"m=1""#);
+        let ends = gone.ends();
         goes(gone);
+        ends.have_it();
+        peer.ends().have_it();
         stage.program.goes_on();
         let line = peer.hears();
         assert!(line.contains("FINISH") && line.contains(&tag(1)), "{line}");
@@ -205,7 +215,10 @@
     let (viewer, mut peer) = stage.plays(&node, 1);
     stage.program.stands_still();
     peer.answers("FINISH", 1, r#""rc":16"#);
+    let ends = viewer.ends();
     drop(viewer);
+    ends.have_it();
+    peer.ends().have_it();
     stage.program.goes_on();
     stage.program.says("Finish");
     let line = stage.viewer().hears();
--- a/crates/cli/tests/stage/mod.rs
+++ b/crates/cli/tests/stage/mod.rs
@@ -334,12 +334,8 @@
     /// Waits until a connection to it has been begun.
     pub fn is_dialled(&self) {
         // Its end and the state, as the machine lists them: asked for, not answered.
-        let line = format!(":{:04X} 02 ", self.address.port());
-        let begun = Instant::now();
-        while !std::fs::read_to_string("/proc/net/tcp").unwrap().contains(&line) {
-            assert!(begun.elapsed() < PATIENCE, "nobody asks for a connection");
-            std::thread::yield_now();
-        }
+        let line = format!("{} 02 ", listed(self.address));
+        waits_for("a connection asked for", |table| table.contains(&line));
     }
 
     /// Takes the connection that was waiting to come up, which the machine tries again each second.
@@ -383,6 +379,10 @@
         self.says(&format!(r#"{{"verb":"{verb}","tag":"{tag:016x}","opts":{{}},{rest}}}"#));
     }
 
+    pub fn ends(&self) -> Ends {
+        Ends::of(self.reader.get_ref())
+    }
+
     /// Something has come that was not read.
     pub fn has_come(&self) {
         assert!(self.reader.get_ref().peek(&mut [0]).unwrap() > 0);
@@ -394,11 +394,59 @@
     }
 }
 
+/// An address as the machine's table of connections has it.
+fn listed(address: SocketAddr) -> String {
+    let SocketAddr::V4(address) = address else { panic!("{address} is not of IPv4") };
+    format!("{:08X}:{:04X}", u32::from(*address.ip()).swap_bytes(), address.port())
+}
+
+/// Waits until the machine's table of connections shows something.
+fn waits_for(what: &str, shows: impl Fn(&str) -> bool) {
+    let begun = Instant::now();
+    while !shows(&std::fs::read_to_string("/proc/net/tcp").unwrap()) {
+        assert!(begun.elapsed() < PATIENCE, "{what} does not show");
+        std::thread::yield_now();
+    }
+}
+
+/// Both ends of a connection, which may be closed by now.
+pub struct Ends {
+    ours: SocketAddr,
+    theirs: SocketAddr,
+}
+
+impl Ends {
+    fn of(stream: &TcpStream) -> Ends {
+        Ends { ours: stream.local_addr().unwrap(), theirs: stream.peer_addr().unwrap() }
+    }
+
+    /// Waits until the close has arrived at a program that stands still.
+    pub fn is_closed(&self) {
+        let line = format!("{} {} 08 ", listed(self.theirs), listed(self.ours));
+        waits_for("a close", |table| table.contains(&line));
+    }
+
+    /// Waits until the machine holds what was sent to a program that stands still: bytes, a close or a reset.
+    pub fn have_it(&self) {
+        let line = format!("{} {} ", listed(self.theirs), listed(self.ours));
+        waits_for("what was sent", |table| {
+            let Some((_, rest)) = table.split_once(&line) else { return true };
+            let mut fields = rest.split_whitespace();
+            let (closed, queues) = (fields.next() == Some("08"), fields.next().unwrap_or_default());
+            closed || !queues.ends_with(":00000000")
+        });
+    }
+}
+
 fn reset(stream: &TcpStream) {
     SockRef::from(stream).set_linger(Some(Duration::ZERO)).unwrap();
 }
 
 impl Viewer {
+    pub fn ends(&self) -> Ends {
+        Ends::of(self.reader.get_ref())
+    }
+
     pub fn cancels(&mut self, tag: u64) {
         self.says(&format!(r#"{{"verb":"FINISH","tag":"{tag:016x}","opts":{{}},"rc":16}}"#));
     }
--- a/crates/platform-director/src/connection.rs
+++ b/crates/platform-director/src/connection.rs
@@ -239,6 +239,7 @@
             }
             () = sleep_until(closing.unwrap_or(by)), if closing.is_some() => break End::Stuck,
         };
+        let ordered = order.is_some();
         while let Some(taken) = order {
             match taken {
                 Order::Line(line) => writer.waiting.push(line),
@@ -252,6 +253,11 @@
             }
             order = if writer.has_room() { orders.try_recv().ok() } else { None };
         }
+        if ordered {
+            // Once more the machine is asked what has come: a close that is there already is read before a line is written.
+            yield_now().await;
+            continue;
+        }
         // One that sends without a pause is written to all the same.
         if writer.has_more()
             && let Some(Err(end)) = at_once(writer.some()).await
