Platform: bounds follow the memory limit, peers that close a half are answered, a word is believed

- A request whose sender closes its half right behind it was passed over, and one whose SETUP was out was given up, neither with an answer (connection.rs, a close ended the connection at once).
Both are answered now, refused where nothing ran and failed where it may have; other lines come back as before.
- A line that can't be read ended the connection with the open set-ups of others on it unanswered.
They have their answer first.
- 256 set-ups open on a front's connection, 1,024 lines waiting on one, 1,024 releases waiting for a node or unconfirmed there, 1,024 given up, 4,096 owed: a zone that is lost takes thousands of sessions in one turn, and a full queue let the connection go with what was open on it.
They follow the memory limit (bounds.rs), at least 1,024 each; what is full says so.
Channels take memory as they fill.
- A connection to a node that came up was taken for a word of its process, which the machine accepts for one that is being killed.
Now a word on it is wanted (peers.rs, up).

--- a/crates/cli/tests/stage/mod.rs
+++ b/crates/cli/tests/stage/mod.rs
@@ -32,6 +32,8 @@
     Breaks,
     /// Stops there and stays open.
     Stops,
+    /// Stays open and says nothing.
+    SaysNothing,
 }
 
 impl Bus {
@@ -88,6 +90,10 @@
                 let trouble = if events.len() > from { self.troubles.lock().unwrap().pop() } else { None };
                 drop(events);
                 let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", body.len());
+                if trouble == Some(Trouble::SaysNothing) {
+                    line.clear();
+                    continue;
+                }
                 let said = if trouble.is_some() { &body[..body.len() / 2] } else { &body };
                 if stream.write_all(format!("{head}{said}").as_bytes()).is_err()
                     || trouble == Some(Trouble::Breaks)
--- a/crates/platform-director/src/connection.rs
+++ b/crates/platform-director/src/connection.rs
@@ -21,8 +21,6 @@
 
 use crate::hub::Word;
 
-/// Orders that wait on one connection at most.
-pub const QUEUE: usize = 1024;
 /// Read at once at most, so that one that sends at full speed takes its turn with the others.
 const CHUNK: usize = 4096;
 /// A peer that takes nothing for so long is let go.
@@ -38,6 +36,8 @@
 #[derive(Debug)]
 pub enum Order {
     Line(Bytes),
+    /// Written if the peer, which has closed, may still read; never handed back.
+    Last(Bytes),
     /// Closes unless something has come that the hub had not heard of: it had heard so many lines.
     CloseIfQuiet(u64),
 }
@@ -58,6 +58,14 @@
 /// A line that is no message.
 pub struct Spoilt;
 
+/// What comes of a line.
+pub enum Heard {
+    Nothing,
+    Word(Word),
+    /// Written if its sender, which has closed behind it, still reads.
+    Reply(Bytes),
+}
+
 struct Reader {
     half: OwnedReadHalf,
     buffer: BytesMut,
@@ -176,8 +184,10 @@
         Ok(())
     }
 
-    /// The lines that are not wholly written.
-    fn unwritten(mut self) -> Vec<Bytes> {
+    /// The lines that are not wholly written, and what may still be written to.
+    fn unwritten(mut self) -> (Vec<Bytes>, Option<OwnedWriteHalf>) {
+        // Behind a part of a line nothing could be read.
+        let whole = self.bytes.is_empty();
         let (mut left, mut from) = (self.bytes.len(), self.under_way.len());
         while left > 0 && from > 0 {
             from -= 1;
@@ -185,19 +195,56 @@
         }
         let mut lines = self.under_way.split_off(from);
         lines.append(&mut self.waiting);
-        lines
+        (lines, whole.then_some(self.half))
+    }
+}
+
+/// How a connection ended.
+pub struct Ended {
+    pub end: End,
+    pub unwritten: Vec<Bytes>,
+    /// Of a peer that has closed, perhaps its half alone, or that sent what can't be read: what may still be written to,
+    /// and what is owed there.
+    half: Option<(Reader, OwnedWriteHalf, Vec<Bytes>)>,
+}
+
+impl Ended {
+    /// A peer that may still read is told what came of its requests; other lines come back. It is over when nobody holds
+    /// the orders' sender.
+    pub async fn last_words(self, orders: &mut mpsc::Receiver<Order>) -> Vec<Bytes> {
+        let mut unwritten = Vec::new();
+        let Some((mut reader, mut half, replies)) = self.half else { return unwritten };
+        let all = async {
+            let mut writes = half.write_all(&replies.concat()).await.is_ok();
+            let mut wrote = !replies.is_empty();
+            while let Some(order) = orders.recv().await {
+                match order {
+                    Order::Last(line) if writes => {
+                        (writes, wrote) = (half.write_all(&line).await.is_ok(), true);
+                    }
+                    Order::Line(line) => unwritten.push(line),
+                    _ => {}
+                }
+            }
+            let _ = half.shutdown().await;
+            if wrote && writes && !reader.ended {
+                reader.pass_over().await;
+            }
+        };
+        let _ = timeout(CLOSING, all).await;
+        unwritten
     }
 }
 
-/// Carries lines both ways until either side ends it; tells why, and which lines were not written. `heard` makes a
-/// word of a line, if one is to be told of it; an error where it can't be read. It is told whether the peer has closed.
+/// Carries lines both ways until either side ends it; tells why, and which lines were not written. `heard` tells
+/// what comes of a line; an error where it can't be read. It is told whether the peer has closed.
 pub async fn carry(
     stream: TcpStream,
     patience: Duration,
-    mut orders: mpsc::Receiver<Order>,
+    orders: &mut mpsc::Receiver<Order>,
     words: &mpsc::Sender<Word>,
-    mut heard: impl FnMut(Bytes, bool) -> Result<Option<Word>, Spoilt>,
-) -> (End, Vec<Bytes>) {
+    mut heard: impl FnMut(Bytes, bool) -> Result<Heard, Spoilt>,
+) -> Ended {
     let _ = stream.set_nodelay(true);
     let (read, write) = stream.into_split();
     let mut reader =
@@ -205,6 +252,7 @@
     let (waiting, under_way, by) = (Vec::new(), Vec::new(), Instant::now());
     let mut writer = Writer { half: write, waiting, under_way, bytes: Bytes::new(), by, last: None };
     let mut told = 0;
+    let mut replies: Vec<Bytes> = Vec::new();
     // Nobody holds the sender any longer: what waits is written until then.
     let mut closing = None;
     let end = 'open: loop {
@@ -214,8 +262,9 @@
             line = reader.next(patience) => match line {
                 Ok(line) => {
                     match heard(line, reader.ended) {
-                        Ok(None) => {}
-                        Ok(Some(word)) => {
+                        Ok(Heard::Nothing) => {}
+                        Ok(Heard::Reply(line)) => replies.push(line),
+                        Ok(Heard::Word(word)) => {
                             told += 1;
                             if words.send(word).await.is_err() {
                                 break End::Ours;
@@ -243,6 +292,7 @@
         while let Some(taken) = order {
             match taken {
                 Order::Line(line) => writer.waiting.push(line),
+                Order::Last(_) => {}
                 Order::CloseIfQuiet(known) => {
                     // The machine is asked what has come, as after a standstill nobody has yet.
                     yield_now().await;
@@ -268,7 +318,6 @@
             break End::Ours;
         }
     };
-    orders.close();
     if end == End::Ours {
         let _ = timeout(CLOSING, async {
             let _ = writer.half.shutdown().await;
@@ -278,13 +327,18 @@
         })
         .await;
     }
-    let mut unwritten = writer.unwritten();
+    let (mut unwritten, half) = writer.unwritten();
+    let half = half.filter(|_| matches!(end, End::Closed | End::Unreadable));
+    let half = half.map(|half| (reader, half, replies));
+    if half.is_none() {
+        orders.close();
+    }
     while let Ok(order) = orders.try_recv() {
         if let Order::Line(line) = order {
             unwritten.push(line);
         }
     }
-    (end, unwritten)
+    Ended { end, unwritten, half }
 }
 
 /// What comes of it if it need not wait.
--- a/crates/platform-director/src/hub.rs
+++ b/crates/platform-director/src/hub.rs
@@ -15,10 +15,11 @@
 use tokio::task::yield_now;
 use tracing::{debug, info, warn};
 
-use crate::connection::{Order, QUEUE};
+use crate::connection::Order;
 use crate::{nodes, viewers};
 
-/// Words that wait for the hub at most; a full channel slows those who read sockets.
+/// Words that wait for the hub at most, and are taken in one turn; a full channel slows those who read sockets, and loses
+/// nothing: what is unread waits with the machine, where its sender sees that it does.
 const WORDS: usize = 1024;
 /// What comes first waits for a turn, not for a queue: there are few of them.
 const FIRST: usize = 4;
@@ -91,6 +92,7 @@
     /// Takes viewers' connections, as many as there are descriptors for; others wait with the machine.
     pub fn accept(&self, listener: TcpListener) -> impl Future<Output = ()> + Send + 'static {
         let (words, descriptors) = (self.words.0.clone(), self.descriptors.viewers.clone());
+        let queue = self.board.queue();
         async move {
             let mut next = 0;
             while let Ok(descriptor) = descriptors.clone().acquire_owned().await {
@@ -98,7 +100,14 @@
                     Ok((stream, from)) => {
                         let link = Link(next);
                         next += 1;
-                        tokio::spawn(viewers::serve(link, from.ip(), stream, descriptor, words.clone()));
+                        tokio::spawn(viewers::serve(
+                            link,
+                            from.ip(),
+                            stream,
+                            descriptor,
+                            queue,
+                            words.clone(),
+                        ));
                     }
                     Err(error) => {
                         warn!(%error, "a connection can't be accepted");
@@ -137,6 +146,7 @@
             {
                 words.push(word);
             }
+            let mut closed = Vec::new();
             for word in words.drain(..) {
                 match word {
                     Word::Opened(link, from, sender) => {
@@ -150,7 +160,7 @@
                                     *heard += 1;
                                 }
                             }
-                            Event::Closed(link, _) => drop(self.viewers.remove(&link)),
+                            Event::Closed(link, _) => closed.push(link),
                             Event::Down(trunk, ..) => drop(self.nodes.remove(&trunk)),
                             _ => {}
                         }
@@ -161,6 +171,10 @@
             for action in self.board.turn(self.clock.now(), std::mem::take(&mut self.taken)) {
                 self.act(action);
             }
+            // Those had their last words in this turn.
+            for link in closed {
+                self.viewers.remove(&link);
+            }
             if self.board.has_ended(self.clock.now()) {
                 info!("nothing is owed any longer: ended as planned");
                 return self.close().await;
@@ -187,6 +201,11 @@
                     self.taken.push(Event::Unread(link, unread));
                 }
             }
+            Action::LastToViewer(link, line) => {
+                if let Some((connection, _)) = self.viewers.get(&link) {
+                    let _ = connection.try_send(Order::Last(line));
+                }
+            }
             Action::CloseViewer(link) => drop(self.viewers.remove(&link)),
             Action::CloseIfQuiet(link) => {
                 if let Some((connection, heard)) = self.viewers.get(&link) {
@@ -194,7 +213,7 @@
                 }
             }
             Action::Dial(trunk, address) => {
-                let (sender, orders) = mpsc::channel(QUEUE);
+                let (sender, orders) = mpsc::channel(self.board.queue());
                 self.nodes.insert(trunk, sender);
                 let (descriptors, words) = (self.descriptors.nodes.clone(), self.words.0.clone());
                 tokio::spawn(nodes::serve(trunk, address, self.dial_timeout, descriptors, orders, words));
@@ -222,6 +241,6 @@
     let Some(connection) = connection else { return Some(line) };
     match connection.try_send(Order::Line(line)).err()?.into_inner() {
         Order::Line(line) => Some(line),
-        Order::CloseIfQuiet(_) => None,
+        Order::Last(_) | Order::CloseIfQuiet(_) => None,
     }
 }
--- a/crates/platform-director/src/nodes.rs
+++ b/crates/platform-director/src/nodes.rs
@@ -12,7 +12,7 @@
 use tokio::time::timeout;
 use tracing::{info, warn};
 
-use crate::connection::{End, Order, Spoilt, carry};
+use crate::connection::{End, Ended, Heard, Order, Spoilt, carry};
 use crate::hub::Word;
 
 /// How a connection that did not come up ended. What we lack ourselves says nothing of the node.
@@ -42,7 +42,7 @@
     address: SocketAddr,
     patience: Duration,
     descriptors: Arc<Semaphore>,
-    orders: mpsc::Receiver<Order>,
+    mut orders: mpsc::Receiver<Order>,
     words: mpsc::Sender<Word>,
 ) {
     // One is free as soon as another connection has ended.
@@ -56,13 +56,19 @@
     };
     tell(&words, Event::Up(trunk)).await;
     let heard = |line: Bytes, _| match Message::read(&line) {
-        Ok(message) => Ok(Some(Word::Event(Event::Heard(trunk, message)))),
+        Ok(message) => Ok(Heard::Word(Word::Event(Event::Heard(trunk, message)))),
         Err(error) => {
             info!(trunk = trunk.0, %address, %error, "what can't be read; closed");
             Err(Spoilt)
         }
     };
-    let (end, unwritten) = carry(stream, patience, orders, &words, heard).await;
+    let Ended { end, mut unwritten, .. } = carry(stream, patience, &mut orders, &words, heard).await;
+    orders.close();
+    while let Ok(order) = orders.try_recv() {
+        if let Order::Line(line) = order {
+            unwritten.push(line);
+        }
+    }
     drop(descriptor);
     let fall = if end == End::Unreadable { Fall::Spoilt } else { Fall::Lost };
     tell(&words, Event::Down(trunk, fall, unwritten)).await;
--- a/crates/platform-director/src/viewers.rs
+++ b/crates/platform-director/src/viewers.rs
@@ -4,13 +4,14 @@
 use std::time::Duration;
 
 use ashglade_platform::ask::is_handed_over;
-use ashglade_platform::{Event, Link, Message, Verb};
+use ashglade_platform::causes::CONGESTED;
+use ashglade_platform::{Event, Link, Message, Verb, message};
 use bytes::Bytes;
 use tokio::net::TcpStream;
 use tokio::sync::{OwnedSemaphorePermit, mpsc};
 use tracing::{debug, info};
 
-use crate::connection::{QUEUE, Spoilt, carry};
+use crate::connection::{Heard, Spoilt, carry};
 use crate::hub::Word;
 
 /// A line that has begun must go on; its sender is owed an end within 3 s of connecting.
@@ -23,23 +24,35 @@
     from: IpAddr,
     stream: TcpStream,
     descriptor: OwnedSemaphorePermit,
+    queue: usize,
     words: mpsc::Sender<Word>,
 ) {
-    let (sender, orders) = mpsc::channel(QUEUE);
+    let (sender, mut orders) = mpsc::channel(queue);
     if words.send(Word::Opened(link, from, sender)).await.is_err() {
         return;
     }
     let heard = |line: Bytes, gone: bool| match Message::read(&line) {
-        // It closed behind its set-up: nobody waits for that. What plays already is handed over, what it ended is ended.
-        Ok(message) if gone && message.verb == Verb::Start && !is_handed_over(&message) => Ok(None),
-        Ok(message) => Ok(Some(Word::Event(Event::Said(link, message)))),
+        // It closed behind its set-up: nobody is set up for that, and it is refused, should its half alone be closed. What
+        // plays already is handed over, what it ended is ended.
+        Ok(message) if gone && message.verb == Verb::Start && !is_handed_over(&message) => {
+            let refusal =
+                message.tag.and_then(|tag| message::write(Verb::Finish, tag, &[], Some(CONGESTED), None));
+            Ok(refusal.map_or(Heard::Nothing, Heard::Reply))
+        }
+        Ok(message) => Ok(Heard::Word(Word::Event(Event::Said(link, message)))),
         Err(error) => {
             info!(link = link.0, %from, %error, "what can't be read; closed");
             Err(Spoilt)
         }
     };
-    let (end, unwritten) = carry(stream, PATIENCE, orders, &words, heard).await;
-    drop(descriptor);
-    debug!(link = link.0, ?end, unwritten = unwritten.len(), "closed");
+    let mut ended = carry(stream, PATIENCE, &mut orders, &words, heard).await;
+    let unwritten = std::mem::take(&mut ended.unwritten);
+    debug!(link = link.0, end = ?ended.end, unwritten = unwritten.len(), "closed");
     let _ = words.send(Word::Event(Event::Closed(link, unwritten))).await;
+    let unread = ended.last_words(&mut orders).await;
+    orders.close();
+    drop(descriptor);
+    for line in unread {
+        let _ = words.send(Word::Event(Event::Unread(link, line))).await;
+    }
 }
--- a/crates/platform/src/board.rs
+++ b/crates/platform/src/board.rs
@@ -15,9 +15,10 @@
 use ashglade_engine::{Answer, Effect, Engine, Input, Start, Tally};
 use ashglade_site::Site;
 use bytes::Bytes;
-use tracing::{debug, trace};
+use tracing::{debug, trace, warn};
 
 use crate::ask::{self, Ask};
+use crate::bounds::Bounds;
 use crate::bus::{News, id_of};
 use crate::causes;
 use crate::config::Config;
@@ -70,6 +71,8 @@
 #[derive(Clone, Debug, PartialEq)]
 pub enum Action {
     ToViewer(Link, Bytes),
+    /// To a viewer that has closed, should it have closed its half alone and read on.
+    LastToViewer(Link, Bytes),
     CloseViewer(Link),
     /// Closes it unless something has come meanwhile; it counts as open until it is told as closed.
     CloseIfQuiet(Link),
@@ -89,15 +92,10 @@
 const IDLE: f64 = 5.0;
 /// Kept of a setup timeout for the way of the answer, in milliseconds.
 const ANSWER_MARGIN_MS: f64 = 20.0;
-/// Sessions in hand for each MB of memory.
-const SESSIONS_PER_MB: f64 = 100.0;
-/// Set-ups open on a viewer's connection at most.
-const MOST_OPEN: usize = 256;
 /// Set-ups that are decided in one turn at most, so that a close or a cancel is heard between two of a flood.
 const TOGETHER: usize = 32;
-/// A release that finds no connection of its client waits so long for one, and so many do.
+/// A release that finds no connection of its client waits so long for one.
 const OWED: f64 = 8.0;
-const MOST_OWED: usize = 4096;
 /// Descriptors that the process holds for itself: standard streams, the runtime's, the listener, the event bus at its old
 /// and its new address.
 const OWN_DESCRIPTORS: usize = 14;
@@ -122,6 +120,8 @@
     /// What its SETUPs carry; of no use any longer once it stands.
     pub ask: Option<Box<Ask>>,
     pub out: Option<Out>,
+    /// A SETUP of it was written: it may have run.
+    pub begun: bool,
     /// The node where it stands, and since when.
     pub at: Option<(Node, Instant)>,
     pub description: Option<String>,
@@ -169,6 +169,7 @@
 pub struct Board {
     pub(crate) site: Site,
     start: Start,
+    pub(crate) bounds: Bounds,
     engine: Option<Engine>,
     /// When the first round is, once that is known.
     begins: Option<Instant>,
@@ -196,16 +197,18 @@
 impl Board {
     pub fn new(config: &Config, now: Instant) -> Board {
         let site = config.site.clone();
+        let bounds = Bounds::of(config.limits.memory_mb);
         let spare = config.limits.sockets.saturating_sub(OWN_DESCRIPTORS).max(2);
         let start = Start {
             headend: site.headend.clone(),
             answer_margin: Span::from_ms(ANSWER_MARGIN_MS),
             probe_timeout: site.dial_timeout,
-            most_sessions: (config.limits.memory_mb * SESSIONS_PER_MB) as usize,
+            most_sessions: bounds.sessions,
             door: None,
         };
         Board {
             start,
+            bounds,
             engine: None,
             begins: None,
             inputs: Vec::new(),
@@ -233,6 +236,11 @@
         self.engine.as_ref().map(Engine::tally)
     }
 
+    /// Lines that may wait on one connection.
+    pub fn queue(&self) -> usize {
+        self.bounds.queue
+    }
+
     /// Descriptors for viewers' connections and for nodes', those that are closing included.
     pub fn descriptors(&self) -> [usize; 2] {
         self.descriptors
@@ -390,15 +398,24 @@
         self.closed(link);
     }
 
-    /// What is open there is given up; what stands goes on.
+    /// What is open there is given up, and told so to a viewer that has closed its half alone; what stands goes on.
     fn closed(&mut self, link: Link) {
         let Some(viewer) = self.viewers.remove(&link) else { return };
+        let mut given_up = Vec::new();
         if viewer.arrived > 0 {
+            given_up
+                .extend(self.arrivals.iter().filter(|a| a.link == link).map(|a| (a.tag, causes::CONGESTED)));
             self.arrivals.retain(|arrival| arrival.link != link);
         }
         for sess in viewer.open {
+            let told = |call: &Call| (call.tag, if call.begun { causes::CUT } else { causes::CONGESTED });
+            given_up.extend(self.calls.get(&sess).map(told));
             self.leave(sess);
         }
+        for (tag, cause) in given_up {
+            let line = message::write(Verb::Finish, tag, &[], Some(cause), None);
+            self.actions.extend(line.map(|line| Action::LastToViewer(link, line)));
+        }
     }
 
     /// A line that its viewer has not read. An answer: it knows of no session, which must not stay at its node. A
@@ -476,8 +493,8 @@
             viewer.arrived += 1;
             return self.asked(now, arrival);
         }
-        if viewer.open.len() + viewer.arrived >= MOST_OPEN
-            || self.calls.len() + self.arrivals.len() >= self.start.most_sessions
+        if viewer.open.len() + viewer.arrived >= self.bounds.open
+            || self.calls.len() + self.arrivals.len() >= self.bounds.sessions
         {
             return self.refuse(link, tag, causes::CONGESTED);
         }
@@ -552,7 +569,7 @@
             viewer.open.insert(sess);
         }
         self.useful(now, link);
-        let call = Call { tag, link, from, ask, out: None, at, description: None, answered };
+        let call = Call { tag, link, from, ask, out: None, begun: false, at, description: None, answered };
         self.calls.insert(sess, call);
         self.tags.insert(tag, sess);
         Some(sess)
@@ -564,7 +581,7 @@
             // Its node is gone: nobody would ever say that it is over.
             return self.refuse(link, tag, causes::of_over(Ending::Lost));
         }
-        if self.calls.len() >= self.start.most_sessions {
+        if self.calls.len() >= self.bounds.sessions {
             return self.refuse(link, tag, causes::CONGESTED);
         }
         self.named(now, node, name);
@@ -627,8 +644,11 @@
         if let Some(link) = on {
             self.actions.push(Action::ToViewer(link, line.clone()));
         }
-        if self.releases.len() >= MOST_OWED {
-            self.releases.pop_front();
+        if self.releases.len() >= self.bounds.owed
+            && let Some(lost) = self.releases.pop_front()
+            && lost.on.is_none()
+        {
+            warn!(to = %lost.to, "more releases are owed than are held: the oldest is not sent");
         }
         self.releases.push_back(Release { at: now, to, on, line });
     }
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod ask;
 pub mod board;
+mod bounds;
 pub mod bus;
 pub mod causes;
 pub mod config;
@@ -14,6 +15,7 @@
 mod peers;
 
 pub use board::{Action, Board, Event, Fall, Link, Trunk};
+pub use bounds::Bounds;
 pub use config::Config;
 pub use line::Lines;
 pub use message::{Message, Tag, Verb};
--- a/crates/platform/src/peers.rs
+++ b/crates/platform/src/peers.rs
@@ -12,7 +12,7 @@
 use ashglade::time::{Instant, Span};
 use ashglade_engine::{Input, Load, Standing, Told};
 use bytes::Bytes;
-use tracing::{debug, trace};
+use tracing::{debug, trace, warn};
 
 use crate::board::{Action, Board, Fall, Out, Trunk};
 use crate::bus::News;
@@ -34,11 +34,9 @@
 const LETTER: f64 = 8.0;
 /// A node that sessions are handed over at, and that the list doesn't tell of within so long, is gone.
 const UNLISTED: f64 = 2.0;
-/// Connections to one node, and lines that wait for one, at most.
+/// Connections to one node at most. Each carries as many SETUPs at once as the settings tell, and a node has few for all
+/// directors together; what finds them full is told as unsent and goes elsewhere.
 const MOST_TRUNKS: usize = 4;
-const MOST_LETTERS: usize = 1024;
-/// Given-up SETUPs whose late answers are known.
-const MOST_GIVEN_UP: usize = 1024;
 
 pub(crate) struct Peer {
     name: String,
@@ -92,6 +90,8 @@
     up: bool,
     made: Instant,
     heard: Instant,
+    /// It came up at once after another broke just behind a word.
+    resumes: bool,
     open: BTreeSet<Sess>,
     /// Releases written here that the node has not confirmed.
     released: VecDeque<(Instant, Tag)>,
@@ -170,13 +170,9 @@
         let node = line.node;
         let Some(peer) = self.peers.get_mut(&node) else { return };
         (peer.heard, peer.never_up) = (now, 0);
-        // A process that ended takes no connection for a while, and a machine that vanished had said nothing for long.
-        if peer.broke.take().is_some_and(|at| now - at <= self.site.dial_timeout)
-            && peer.doubted.take().is_some()
-        {
-            debug!(name = peer.name, "its process went on: it took a connection at once");
-            self.inputs.push(Input::WentOn { node });
-        }
+        // A process that ended takes no connection for a while, and a machine that vanished had said nothing for long. But
+        // a machine takes connections for a process that is being killed: only a word on this one will show that it went on.
+        line.resumes = peer.broke.take().is_some_and(|at| now - at <= self.site.dial_timeout);
         let letters = std::mem::take(&mut peer.letters);
         let (waiting, probes) = (std::mem::take(&mut peer.waiting), std::mem::take(&mut peer.probes));
         // One that failed its test is of no more use now that there is another.
@@ -222,13 +218,16 @@
         // What was there before the doubt could not speak of it after another start: a connection, or a session.
         let cut = message.verb == Verb::Finish && message.cause.is_none_or(|cause| cause == causes::CUT);
         let since = call.and_then(|call| call.at).filter(|_| stands && !cut).map(|(_, since)| since);
-        let made = self.trunks.get(&trunk).map(|line| line.made);
+        let (made, resumes) = self.trunks.get(&trunk).map(|line| (line.made, line.resumes)).unzip();
         if let Some(peer) = self.peers.get_mut(&node).filter(|_| !failed)
             && let Some(doubted) = peer.doubted
-            && made.into_iter().chain(since).any(|before| before < doubted)
+            && (resumes == Some(true) || made.into_iter().chain(since).any(|before| before < doubted))
         {
             peer.doubted = None;
-            debug!(name = peer.name, "its process went on: what was there before speaks");
+            debug!(
+                name = peer.name,
+                resumes, "its process went on: what was there before speaks, or it did at once"
+            );
             self.inputs.push(Input::WentOn { node });
         }
         match (message.verb, sess) {
@@ -444,6 +443,7 @@
             return self.inputs.push(Input::Ended { sess, setup, how: Ending::Unsent, load: None });
         };
         out.sent = Some((trunk, now));
+        call.begun = true;
         if let Some(on) = self.trunks.get_mut(&trunk) {
             on.open.insert(sess);
         }
@@ -469,8 +469,9 @@
         }
         self.set_up_over(sess);
         self.given_up.push_back((node, tag));
-        if self.given_up.len() > MOST_GIVEN_UP {
+        if self.given_up.len() > self.bounds.owed {
             self.given_up.pop_front();
+            warn!("more SETUPs were given up than are held: what comes of the oldest stays where it is");
         }
         self.inputs.push(Input::Ended { sess, setup, how: Ending::Silent, load: None });
         if late && let Some(peer) = self.peers.get_mut(&node) {
@@ -569,6 +570,7 @@
             up: false,
             made: now,
             heard: now,
+            resumes: false,
             open: BTreeSet::new(),
             released: VecDeque::new(),
             echoes: BTreeMap::new(),
@@ -622,8 +624,12 @@
         if let Some(tag) = told.and_then(|told| told.tag)
             && let Some(on) = self.trunks.get_mut(&trunk)
         {
-            if on.released.len() >= MOST_LETTERS {
+            if on.released.len() >= self.bounds.owed {
                 on.released.pop_front();
+                warn!(
+                    trunk = trunk.0,
+                    "more releases are unconfirmed than are held: the oldest is not sent again"
+                );
             }
             on.released.push_back((now, tag));
         }
@@ -649,10 +655,18 @@
     fn owe(&mut self, now: Instant, node: Node, tag: Tag) {
         let Some(line) = give_up(tag) else { return };
         let owed = |peer: &Peer| peer.letters.iter().any(|(_, other)| *other == line);
-        if let Some(peer) = self.peers.get_mut(&node).filter(|peer| !owed(peer))
-            && peer.letters.len() < MOST_LETTERS
-        {
+        if self.peers.get(&node).is_some_and(|peer| !owed(peer)) {
+            self.keep(now, node, line);
+        }
+    }
+
+    /// Keeps a line until there is a connection to the node.
+    fn keep(&mut self, now: Instant, node: Node, line: Bytes) {
+        let Some(peer) = self.peers.get_mut(&node) else { return };
+        if peer.letters.len() < self.bounds.owed {
             peer.letters.push_back((now, line));
+        } else {
+            warn!(name = peer.name, "more lines wait for a connection than are held: one is not sent");
         }
     }
 
@@ -672,10 +686,9 @@
         if let Some(&trunk) = peer.trunks.iter().rev().find(up) {
             return self.write(now, trunk, line);
         }
-        if peer.letters.len() < MOST_LETTERS {
-            peer.letters.push_back((now, line));
-        }
-        if peer.trunks.is_empty() {
+        let unconnected = peer.trunks.is_empty();
+        self.keep(now, node, line);
+        if unconnected {
             self.dial(now, node);
         }
     }
