--- a/crates/platform-director/src/nodes.rs
+++ b/crates/platform-director/src/nodes.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use ashglade_platform::{Event, Fall, Message, Trunk};
+use ashglade_platform::{Event, CloseReason, Message, Trunk};
 use bytes::Bytes;
 use tokio::net::TcpStream;
 use tokio::sync::{Semaphore, mpsc};
@@ -16,18 +16,18 @@
 use crate::hub::Word;
 
 /// How a connection that did not come up ended. What we lack ourselves says nothing of the node.
-fn not_up(error: &std::io::Error) -> Fall {
+fn not_up(error: &std::io::Error) -> CloseReason {
     match error.kind() {
-        ErrorKind::ConnectionRefused => Fall::Refused,
+        ErrorKind::ConnectionRefused => CloseReason::Refused,
         ErrorKind::ConnectionReset
         | ErrorKind::ConnectionAborted
         | ErrorKind::TimedOut
         | ErrorKind::HostUnreachable
-        | ErrorKind::NetworkUnreachable => Fall::NeverUp,
+        | ErrorKind::NetworkUnreachable => CloseReason::NeverUp,
         // No descriptor, port or memory here.
         _ => {
             warn!(%error, "no connection to a node can be begun");
-            Fall::Wanting
+            CloseReason::Wanting
         }
     }
 }
@@ -47,12 +47,12 @@
 ) {
     // One is free as soon as another connection has ended.
     let Ok(Ok(descriptor)) = timeout(patience, descriptors.acquire_owned()).await else {
-        return tell(&words, Event::Down(trunk, Fall::Wanting, Vec::new())).await;
+        return tell(&words, Event::Down(trunk, CloseReason::Wanting, Vec::new())).await;
     };
     let stream = match timeout(patience, TcpStream::connect(address)).await {
         Ok(Ok(stream)) => stream,
         Ok(Err(error)) => return tell(&words, Event::Down(trunk, not_up(&error), Vec::new())).await,
-        Err(_) => return tell(&words, Event::Down(trunk, Fall::NeverUp, Vec::new())).await,
+        Err(_) => return tell(&words, Event::Down(trunk, CloseReason::NeverUp, Vec::new())).await,
     };
     tell(&words, Event::Up(trunk)).await;
     let heard = |line: Bytes, _| match Message::read(&line) {
@@ -70,6 +70,6 @@
         }
     }
     drop(descriptor);
-    let fall = if end == End::Unreadable { Fall::Spoilt } else { Fall::Lost };
-    tell(&words, Event::Down(trunk, fall, unwritten)).await;
+    let reason = if end == End::Unreadable { CloseReason::Spoilt } else { CloseReason::Lost };
+    tell(&words, Event::Down(trunk, reason, unwritten)).await;
 }
--- a/crates/platform/src/board.rs
+++ b/crates/platform/src/board.rs
@@ -35,7 +35,7 @@
 
 /// How a connection to a node ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Fall {
+pub enum CloseReason {
     /// Nobody listens there.
     Refused,
     /// It did not come up in time.
@@ -61,7 +61,7 @@
     Up(Trunk),
     Heard(Trunk, Message),
     /// The last word of each connection that was dialled, with the lines that were not written.
-    Down(Trunk, Fall, Vec<Bytes>),
+    Down(Trunk, CloseReason, Vec<Bytes>),
     Untaken(Trunk, Bytes),
     Bus(Vec<News>),
     /// A planned end is near: tests fail from here on, and what still comes is served.
@@ -314,12 +314,12 @@
             }
             Event::Up(trunk) => self.up(now, trunk),
             Event::Heard(trunk, message) => self.heard(now, trunk, message),
-            Event::Down(trunk, fall, unwritten) => {
+            Event::Down(trunk, reason, unwritten) => {
                 let node = self.trunks.get(&trunk).map(|line| line.node);
                 self.hung_up.extend(node.map(|node| (trunk, node)));
                 // What was not written is owed before anybody asks whether another connection is wanted.
                 self.untaken(now, trunk, unwritten);
-                self.down(now, trunk, fall);
+                self.down(now, trunk, reason);
                 self.hung_up.remove(&trunk);
             }
             Event::Untaken(trunk, line) => {
--- a/crates/platform/src/peers.rs
+++ b/crates/platform/src/peers.rs
@@ -14,7 +14,7 @@
 use bytes::Bytes;
 use tracing::{debug, trace, warn};
 
-use crate::board::{Action, Board, Fall, Out, Trunk};
+use crate::board::{Action, Board, CloseReason, Out, Trunk};
 use crate::bus::News;
 use crate::causes;
 use crate::message::{self, Message, Tag, Verb, figure};
@@ -31,7 +31,7 @@
 /// that fails doubles it.
 const REDIAL: f64 = 0.25;
 /// What is owed to a node that takes no connection is owed so long, and what was written on one that broke as long ago.
-const LETTER: f64 = 8.0;
+const PENDING: f64 = 8.0;
 /// A node that sessions are handed over at, and that the list doesn't tell of within so long, is gone.
 const UNLISTED: f64 = 2.0;
 /// Connections to one node at most. Each carries as many SETUPs at once as the settings tell, and a node has few for all
@@ -49,7 +49,7 @@
     waiting: VecDeque<Sess>,
     probes: Vec<u64>,
     /// Lines that any connection may carry: releases, new rungs; each with since when it is owed.
-    letters: VecDeque<(Instant, Bytes)>,
+    pending: VecDeque<(Instant, Bytes)>,
     pub standing: BTreeSet<Sess>,
     heard: Instant,
     tested: Option<Instant>,
@@ -72,7 +72,7 @@
             trunks: BTreeSet::new(),
             waiting: VecDeque::new(),
             probes: Vec::new(),
-            letters: VecDeque::new(),
+            pending: VecDeque::new(),
             standing: BTreeSet::new(),
             heard: now,
             tested: None,
@@ -124,7 +124,7 @@
             peer.address = entry.address.or(peer.address).filter(|_| !entry.removed);
             let wanted = unknown && peer.address.is_some() && !peer.standing.is_empty();
             if entry.removed {
-                peer.letters.clear();
+                peer.pending.clear();
             }
             if let Some(started) = entry.place.started {
                 self.started_again(now, entry.node, started);
@@ -137,7 +137,7 @@
             nodes.push(Told { node, standing: Standing::Gone });
             if let Some(peer) = self.peers.get_mut(&node) {
                 (peer.listed, peer.removed, peer.address) = (true, true, None);
-                peer.letters.clear();
+                peer.pending.clear();
             }
         }
         self.inputs.push(Input::Told { whole: news.whole, nodes });
@@ -173,12 +173,12 @@
         // A process that ended takes no connection for a while, and a machine that vanished had said nothing for long. But
         // a machine takes connections for a process that is being killed: only a word on this one will show that it went on.
         line.resumes = peer.broke.take().is_some_and(|at| now - at <= self.site.dial_timeout);
-        let letters = std::mem::take(&mut peer.letters);
+        let pending = std::mem::take(&mut peer.pending);
         let (waiting, probes) = (std::mem::take(&mut peer.waiting), std::mem::take(&mut peer.probes));
         // One that failed its test is of no more use now that there is another.
         let failed = peer.tested.take().is_some_and(|at| now - at > Span::from_secs(TEST));
         let old: Vec<Trunk> = peer.trunks.iter().copied().filter(|&t| failed && t != trunk).collect();
-        for (_, line) in letters {
+        for (_, line) in pending {
             self.write(now, trunk, line);
         }
         for sess in waiting {
@@ -311,13 +311,13 @@
         }
     }
 
-    pub(crate) fn down(&mut self, now: Instant, trunk: Trunk, fall: Fall) {
+    pub(crate) fn down(&mut self, now: Instant, trunk: Trunk, reason: CloseReason) {
         let Some(line) = self.trunks.remove(&trunk) else { return };
         let name = self.peers.get(&line.node).map(|peer| &peer.name);
-        debug!(name, trunk = trunk.0, ?fall, open = line.open.len(), "a connection to a node ended");
+        debug!(name, trunk = trunk.0, ?reason, open = line.open.len(), "a connection to a node ended");
         let node = line.node;
         if let Some(peer) = self.peers.get_mut(&node) {
-            let fresh = matches!(fall, Fall::Lost | Fall::Spoilt)
+            let fresh = matches!(reason, CloseReason::Lost | CloseReason::Spoilt)
                 && line.up
                 && now - line.heard <= Span::from_secs(FRESH);
             if !line.open.is_empty() {
@@ -338,22 +338,22 @@
             self.inputs.push(Input::Probed { probe, load: None });
         }
         // It may have gone with the connection.
-        for (_, tag) in line.released.into_iter().filter(|(at, _)| now - *at <= Span::from_secs(LETTER)) {
+        for (_, tag) in line.released.into_iter().filter(|(at, _)| now - *at <= Span::from_secs(PENDING)) {
             self.owe(now, node, tag);
         }
         let Some(peer) = self.peers.get_mut(&node) else { return };
         peer.trunks.remove(&trunk);
-        if fall == Fall::NeverUp {
+        if reason == CloseReason::NeverUp {
             peer.never_up = (peer.never_up + 1).min(16);
         }
-        if fall == Fall::Refused {
+        if reason == CloseReason::Refused {
             // Its process has ended, and with it what stood there when the connection was begun.
             self.lose_all(now, node, line.made);
         }
-        self.no_trunk_for_waiting(node, fall);
+        self.no_trunk_for_waiting(node, reason);
         let Some(peer) = self.peers.get(&node) else { return };
-        let letters = !peer.letters.is_empty() && peer.never_up == 0;
-        let wanted = !peer.standing.is_empty() || letters || peer.broke.is_some();
+        let pending = !peer.pending.is_empty() && peer.never_up == 0;
+        let wanted = !peer.standing.is_empty() || pending || peer.broke.is_some();
         if wanted && peer.trunks.is_empty() && now - peer.dialed > Span::from_secs(REDIAL) {
             self.dial(now, node);
         }
@@ -362,7 +362,7 @@
     /// All that stood at the node by then is lost, and nobody is there to be told anything.
     fn lose_all(&mut self, now: Instant, node: Node, by: Instant) {
         let Some(peer) = self.peers.get_mut(&node) else { return };
-        peer.letters.retain(|(since, _)| *since > by);
+        peer.pending.retain(|(since, _)| *since > by);
         let stood = |sess: &Sess| self.calls.get(sess).and_then(|call| call.at).is_none_or(|at| at.1 <= by);
         let lost: Vec<Sess> = peer.standing.iter().copied().filter(stood).collect();
         for sess in lost {
@@ -381,9 +381,9 @@
     }
 
     /// What waits for a connection can't have one, if none is on its way.
-    fn no_trunk_for_waiting(&mut self, node: Node, fall: Fall) {
+    fn no_trunk_for_waiting(&mut self, node: Node, reason: CloseReason) {
         // For want of a descriptor of ours nothing was tried.
-        let how = if fall == Fall::Wanting { Ending::Unsent } else { Ending::Unreachable };
+        let how = if reason == CloseReason::Wanting { Ending::Unsent } else { Ending::Unreachable };
         let Some(peer) = self.peers.get_mut(&node) else { return };
         if peer.trunks.iter().any(|trunk| self.trunks.get(trunk).is_some_and(|line| !line.up)) {
             return;
@@ -592,12 +592,12 @@
 
     pub(crate) fn spoil(&mut self, now: Instant, trunk: Trunk) {
         self.hang_up(trunk);
-        self.down(now, trunk, Fall::Spoilt);
+        self.down(now, trunk, CloseReason::Spoilt);
     }
 
     pub(crate) fn let_go(&mut self, now: Instant, trunk: Trunk) {
         self.hang_up(trunk);
-        self.down(now, trunk, Fall::Silent);
+        self.down(now, trunk, CloseReason::Silent);
     }
 
     fn hang_up(&mut self, trunk: Trunk) {
@@ -638,7 +638,7 @@
 
     /// No line waits for a connection to a node.
     pub(crate) fn nothing_waits_for_nodes(&self) -> bool {
-        self.peers.values().all(|peer| peer.letters.is_empty())
+        self.peers.values().all(|peer| peer.pending.is_empty())
     }
 
     fn echo(&mut self, trunk: Trunk, probe: Option<u64>) {
@@ -654,7 +654,7 @@
 
     fn owe(&mut self, now: Instant, node: Node, tag: Tag) {
         let Some(line) = give_up(tag) else { return };
-        let owed = |peer: &Peer| peer.letters.iter().any(|(_, other)| *other == line);
+        let owed = |peer: &Peer| peer.pending.iter().any(|(_, other)| *other == line);
         if self.peers.get(&node).is_some_and(|peer| !owed(peer)) {
             self.keep(now, node, line);
         }
@@ -663,8 +663,8 @@
     /// Keeps a line until there is a connection to the node.
     fn keep(&mut self, now: Instant, node: Node, line: Bytes) {
         let Some(peer) = self.peers.get_mut(&node) else { return };
-        if peer.letters.len() < self.bounds.owed {
-            peer.letters.push_back((now, line));
+        if peer.pending.len() < self.bounds.owed {
+            peer.pending.push_back((now, line));
         } else {
             warn!(name = peer.name, "more lines wait for a connection than are held: one is not sent");
         }
@@ -705,16 +705,16 @@
         let after = |at: Instant, secs: f64| now - at > Span::from_secs(secs);
         if peer.address.is_none() && peer.listed {
             // No longer listed: nobody is there to be told. A line owed since must not keep what stood there from its end.
-            peer.letters.clear();
+            peer.pending.clear();
         }
-        peer.letters.retain(|(since, _)| !after(*since, LETTER));
+        peer.pending.retain(|(since, _)| !after(*since, PENDING));
         let pause = REDIAL * f64::from(1u32 << peer.never_up.min(5));
-        if peer.trunks.is_empty() && !peer.letters.is_empty() && after(peer.dialed, pause) {
+        if peer.trunks.is_empty() && !peer.pending.is_empty() && after(peer.dialed, pause) {
             return self.dial(now, node);
         }
         if peer.standing.is_empty() {
             let open = |trunk: &Trunk| self.trunks.get(trunk).is_some_and(|line| !line.open.is_empty());
-            let unlisted = !peer.listed && peer.letters.is_empty();
+            let unlisted = !peer.listed && peer.pending.is_empty();
             if (peer.removed || unlisted) && peer.waiting.is_empty() && !peer.trunks.iter().any(open) {
                 let trunks = peer.trunks.clone();
                 trunks.into_iter().for_each(|trunk| self.let_go(now, trunk));
--- a/crates/platform/src/tests.rs
+++ b/crates/platform/src/tests.rs
@@ -10,7 +10,7 @@
 use proptest::prelude::*;
 use tokio_util::codec::Decoder;
 
-use crate::board::Fall;
+use crate::board::CloseReason;
 use crate::bus::Batch;
 use crate::{Action, Board, Config, Event, Lines, Link, Message, Trunk, ask, line};
 
@@ -119,9 +119,9 @@
         self.turn([Event::Up(trunk)])
     }
 
-    pub fn down(&mut self, name: &str, fall: Fall) -> &mut Stage {
+    pub fn down(&mut self, name: &str, reason: CloseReason) -> &mut Stage {
         let trunk = self.trunk(name);
-        self.turn([Event::Down(trunk, fall, Vec::new())])
+        self.turn([Event::Down(trunk, reason, Vec::new())])
     }
 
     pub fn node(&mut self, name: &str, verb: &str, tag: u64, rest: &str) -> &mut Stage {
@@ -255,7 +255,7 @@
         node a0 < {"verb":"START","tag":"02","opts":{"class":"clip","key":"7f3a","left":"400","rung":"2"},"blob":"v=0"}
     "#]]);
     // What may stand there unknown is released on the next connection.
-    stage.down("c1", Fall::Spoilt).shows(expect![[r#"
+    stage.down("c1", CloseReason::Spoilt).shows(expect![[r#"
         dial b2
     "#]]);
     stage.waits(400.0).up("c3").shows(expect![[r#"
@@ -343,13 +343,13 @@
         viewer 0 < {"verb":"ECHOED","tag":"ee","opts":{},"rc":1}
         dial a0
     "#]]);
-    stage.waits(500.0).down("a0", Fall::Lost).up("a1").waits(500.0);
+    stage.waits(500.0).down("a0", CloseReason::Lost).up("a1").waits(500.0);
     stage.node("a1", "NOTICE", 0xa0, r#","opts":{"note":"d","value":0.5}"#).shows(expect![[r#"
         after 399 ms:
         node a0 < {"verb":"RATE","tag":"a0","opts":{"rung":"1"}}
         dial a1
     "#]]);
-    stage.down("a1", Fall::Lost).down("a2", Fall::Refused).shows(expect![[r#"
+    stage.down("a1", CloseReason::Lost).down("a2", CloseReason::Refused).shows(expect![[r#"
         dial a2
         viewer 0 < {"verb":"FINISH","tag":"a0","opts":{},"rc":41}
     "#]]);
@@ -387,7 +387,7 @@
         hang up a0
     "#]]);
     // What c still says on its old connection is c's; when that ends, nothing is asked at the address.
-    stage.node("c1", "NOTICE", 0x01, r#","opts":{"note":"d","value":0.5}"#).down("c1", Fall::Lost);
+    stage.node("c1", "NOTICE", 0x01, r#","opts":{"note":"d","value":0.5}"#).down("c1", CloseReason::Lost);
     stage.waits(300.0).shows(expect![[r#"
         node c1 < {"verb":"RATE","tag":"01","opts":{"rung":"1"}}
         after 149 ms:
@@ -407,7 +407,7 @@
 fn a_node_whose_connection_was_reset_and_that_takes_another_at_once_is_not_held_for_cold() {
     let mut stage = Stage::begun();
     asks_one_node(stage.up("a0").opens(1), 1..2).up("c1").shown();
-    stage.waits(300.0).node("c1", "PENDING", 0x01, "").down("c1", Fall::Lost).up("c2").shows(expect![[r#"
+    stage.waits(300.0).node("c1", "PENDING", 0x01, "").down("c1", CloseReason::Lost).up("c2").shows(expect![[r#"
         dial c2
         viewer 1 < {"verb":"FINISH","tag":"01","opts":{},"rc":34}
         node c2 < {"verb":"FINISH","tag":"01","opts":{},"rc":16}
@@ -665,7 +665,7 @@
     let mut stage = Stage::begun();
     stage.up("a0").waits(3900.0);
     stage.node("a0", "ECHOED", 0x8c1f30d27a5be964, r#","opts":{},"rc":0"#).waits(500.0);
-    stage.down("a1", Fall::Refused).shows(expect![[r#"
+    stage.down("a1", CloseReason::Refused).shows(expect![[r#"
         viewer 0 < {"verb":"ECHOED","tag":"ee","opts":{},"rc":1}
         dial a0
         after 399 ms:
@@ -688,7 +688,7 @@
     asks_one_node(&mut stage, 2..3).shown();
     let c = r#"{"name":"c","address":"10.0.0.3:80","zone":"east","type":"std","group":2,"status":"removed","weight":4}"#;
     stage.bus(&format!(r#"{{"offset":2,"batch":[{{"offset":2,"topology":{{"endpoints":[{c}]}}}}]}}"#), 1);
-    stage.down("c1", Fall::Lost).waits(4000.0).shows(expect![[r#"
+    stage.down("c1", CloseReason::Lost).waits(4000.0).shows(expect![[r#"
         viewer 1 < {"verb":"FINISH","tag":"02","opts":{},"rc":34}
         after 149 ms:
         viewer 1 < {"verb":"FINISH","tag":"01","opts":{},"rc":41}
@@ -829,16 +829,16 @@
     let mut stage = Stage::begun();
     stage.up("a0").opens(1).asks(1, 0x01).up("c1").turn([Stage::closes(1)]).shown();
     // What was written may have gone with the connection.
-    stage.down("c1", Fall::Lost).waits(600.0).shows(expect![[r#"
+    stage.down("c1", CloseReason::Lost).waits(600.0).shows(expect![[r#"
         after 399 ms:
         dial c2
         node a0 < {"verb":"RATE","tag":"a0","opts":{"rung":"1"}}
     "#]]);
-    stage.down("c2", Fall::NeverUp).waits(800.0).shows(expect![[r#"
+    stage.down("c2", CloseReason::NeverUp).waits(800.0).shows(expect![[r#"
         after 549 ms:
         dial c3
     "#]]);
-    stage.down("c3", Fall::NeverUp).waits(1500.0).shows(expect![[r#"
+    stage.down("c3", CloseReason::NeverUp).waits(1500.0).shows(expect![[r#"
         after 999 ms:
         dial c4
     "#]]);
@@ -855,7 +855,7 @@
     stage.says(1, r#"{"verb":"FINISH","tag":"0000000000000001","opts":{},"rc":16}"#).shown();
     stage
         .node("c1", "FINISH", 0x01, r#","opts":{},"rc":31"#)
-        .down("c1", Fall::Lost)
+        .down("c1", CloseReason::Lost)
         .waits(300.0)
         .shows(expect![[""]]);
 }
@@ -867,7 +867,7 @@
     // No word for a while: tested, then tried anew; while that is on its way the node answers after all, and sets another up.
     stage.waits(4400.0).shown();
     asks_one_node_at(&mut stage, 0x01, 0).node("a0", "STARTED", 0x01, r#","opts":{},"blob":"m=1""#).shown();
-    stage.down("a1", Fall::Refused).shows(expect![[r#"
+    stage.down("a1", CloseReason::Refused).shows(expect![[r#"
         viewer 0 < {"verb":"FINISH","tag":"a0","opts":{},"rc":41}
     "#]]);
 }
@@ -880,7 +880,7 @@
 fn want_of_descriptors_of_ours_says_nothing_of_a_node() {
     let mut stage = Stage::begun();
     stage.up("a0").opens(1);
-    asks_one_node(&mut stage, 1..2).down("c1", Fall::Wanting).shows(expect![[r#"
+    asks_one_node(&mut stage, 1..2).down("c1", CloseReason::Wanting).shows(expect![[r#"
         viewer 0 < {"verb":"ECHOED","tag":"ee","opts":{},"rc":1}
         dial a0
         dial c1
@@ -1014,7 +1014,7 @@
     );
     // The session at `c` goes on, and the next is set up on the same connection. What stood at `a` is over with its
     // connection, and nobody is dialled there.
-    asks_one_node(&mut stage, 2..3).down("a0", Fall::Lost).waits(300.0);
+    asks_one_node(&mut stage, 2..3).down("a0", CloseReason::Lost).waits(300.0);
     stage.node("c1", "FINISH", 1, r#","opts":{},"rc":16"#).shows(expect![[r#"
         node c1 < {"verb":"START","tag":"02","opts":{"class":"clip","key":"7f3a","left":"400","rung":"0"},"blob":"v=0"}
         after 149 ms:
