--- a/crates/cli/tests/stage/mod.rs
+++ b/crates/cli/tests/stage/mod.rs
@@ -4,7 +4,7 @@
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU8, Ordering};
 use std::sync::mpsc::{Receiver, Sender, channel};
 use std::sync::{Arc, Condvar, Mutex};
 use std::time::{Duration, Instant};
@@ -223,9 +223,13 @@
     _folder: tempfile::TempDir,
 }
 
-/// Reserved for a moment, then the caller's.
+/// Reserved for a moment, then the caller's: on an address of loopback of its own, where no connection of the tests beside
+/// it takes the port in between.
 pub fn free_address() -> SocketAddr {
-    TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
+    static NEXT: AtomicU8 = AtomicU8::new(0);
+    let [.., high, low] = std::process::id().to_be_bytes();
+    let own = [127, 64 + high % 64, low, 1 + NEXT.fetch_add(1, Ordering::SeqCst) % 250];
+    TcpListener::bind(SocketAddr::from((own, 0))).unwrap().local_addr().unwrap()
 }
 
 pub fn config(listen: SocketAddr, bus: SocketAddr, known: &str) -> String {
--- a/crates/platform-director/src/nodes.rs
+++ b/crates/platform-director/src/nodes.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use ashglade_platform::{Event, CloseReason, Message, Trunk};
+use ashglade_platform::{CloseReason, Event, Message, Trunk};
 use bytes::Bytes;
 use tokio::net::TcpStream;
 use tokio::sync::{Semaphore, mpsc};
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -14,7 +14,7 @@
 pub mod message;
 mod peers;
 
-pub use board::{Action, Board, Event, CloseReason, Link, Trunk};
+pub use board::{Action, Board, CloseReason, Event, Link, Trunk};
 pub use bounds::Bounds;
 pub use config::Config;
 pub use line::Lines;
--- a/crates/platform/src/tests.rs
+++ b/crates/platform/src/tests.rs
@@ -407,11 +407,13 @@
 fn a_node_whose_connection_was_reset_and_that_takes_another_at_once_is_not_held_for_cold() {
     let mut stage = Stage::begun();
     asks_one_node(stage.up("a0").opens(1), 1..2).up("c1").shown();
-    stage.waits(300.0).node("c1", "PENDING", 0x01, "").down("c1", CloseReason::Lost).up("c2").shows(expect![[r#"
+    stage.waits(300.0).node("c1", "PENDING", 0x01, "").down("c1", CloseReason::Lost).up("c2").shows(expect![
+        [r#"
         dial c2
         viewer 1 < {"verb":"FINISH","tag":"01","opts":{},"rc":34}
         node c2 < {"verb":"FINISH","tag":"01","opts":{},"rc":16}
-    "#]]);
+    "#]
+    ]);
     // The machine may have taken it for a process that is being killed: a word shows that it goes on.
     asks_one_node(&mut stage, 8..14).shows(expect![[r#"
         node c2 < {"verb":"START","tag":"08","opts":{"class":"clip","key":"7f3a","left":"400","rung":"0"},"blob":"v=0"}
