--- a/src/policy.rs
+++ b/src/policy.rs
@@ -328,8 +328,8 @@
             return sent < ours.floor().max(1.0)
                 && (ours >= 1.0 || self.counts.setups.within(self.now, span) < pool);
         }
-        // Half a budget of turns at a time, as it was when they began, a span long and of one SETUP each, so that no span
-        // meets more than two lots; under two, one turn, and a span's pause behind it. Each node begins elsewhere.
+        // Half a budget of turns at a time, as it was when they began, a span long, of one SETUP each: no
+        // span meets more than two lots. Under two, one turn and a span's pause. Each node begins elsewhere.
         let spans = self.now.as_ms() / span.as_ms().max(1.0);
         let risen = (1.0 - self.plant.cold_from) * (span / self.plant.warm_after) * spans.fract();
         let then = budget * (warmth - risen).max(self.plant.cold_from) / warmth;
@@ -345,8 +345,8 @@
         (1.0 + self.fleet.good[i] * kept) / (1.0 + self.fleet.all[i] * kept)
     }
 
-    /// Node `i` gave no answer: it may restart unseen, and its pace is the least until it plays. Where its zone failed
-    /// as one, that is tried now and then. Guards against all directors' SETUPs in the moment in which it returns.
+    /// Node `i` gave no answer: it may restart unseen, and its pace is the least until it plays. Where its
+    /// zone failed as one, that is tried now and then. Guards against all directors' SETUPs as it returns.
     fn no_answer(&mut self, i: usize) {
         self.fleet.failed[i] = Some(self.now);
         if self.fleet.failed_since_word(self.fleet.zone[i]) >= AS_ONE {
@@ -354,7 +354,7 @@
         }
     }
 
-    /// Its zone was lost, and nothing was heard of node `i` since: what has just come back delivers short at first.
+    /// Its zone was lost and nothing heard of node `i` since: what just came back delivers short at first.
     fn held(&self, i: usize) -> bool {
         let gap = Span::from_secs(NOTE_GAP);
         self.fleet.hold(i).is_some_and(|h| self.fleet.heard[i] < h.since && self.now - h.since < gap)
