--- a/crates/platform/src/bounds.rs
+++ b/crates/platform/src/bounds.rs
@@ -2,7 +2,7 @@
 //! may be of any length. What is held for sessions follows the memory limit, as there is at most one of each for a session;
 //! it is taken as it is needed, not ahead.
 
-/// Sessions in hand for each MB of memory: one with a SETUP out and its description takes some 4 KB of the 10.
+/// Sessions in hand for each MB of memory.
 const SESSIONS_PER_MB: f64 = 100.0;
 /// One viewer's connection may hold this part of the sessions in hand, so that none takes all room from the others.
 const OPEN_PART: usize = 4;
