Platform: logs of a drain's start, of what it waits for, and of each request by its id

Need: the logs of the incident do not tell when a stop began by the process's own clock, what held the process back, or which requests it took after SIGTERM. Change: 'drain started', every 0.5 s 'draining' and the last line name the unanswered requests, playing sessions, connections and undelivered releases; at debug level each request has lines with its id when it is taken, answered or refused, with the time since the drain began. No behaviour changes.

--- a/crates/platform-director/src/event_loop.rs
+++ b/crates/platform-director/src/event_loop.rs
@@ -13,6 +13,7 @@
 use tokio::net::TcpListener;
 use tokio::sync::{Semaphore, mpsc};
 use tokio::task::yield_now;
+use tokio::time::MissedTickBehavior;
 use tracing::{debug, info, warn};
 
 use crate::connection::ConnectionCommand;
@@ -28,6 +29,8 @@
 const STATE_LOG_INTERVAL: Duration = Duration::from_secs(10);
 /// Delay before the next `accept` after a failed one, as when the process or host has no descriptor left.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
+/// Interval of the log line of what is still open during a drain.
+const DRAIN_LOG_INTERVAL: Duration = Duration::from_millis(500);
 /// Delay of a timer beyond which the process is taken to have been stalled.
 const STALL_THRESHOLD: Duration = Duration::from_millis(50);
 /// Time that connections to nodes have to write their last lines before the process exits.
@@ -129,6 +132,8 @@
     pub async fn run(mut self) {
         let mut received = Vec::with_capacity(MAX_EVENTS_PER_BATCH);
         let mut state_log = tokio::time::interval(STATE_LOG_INTERVAL);
+        let mut drain_log = tokio::time::interval(DRAIN_LOG_INTERVAL);
+        drain_log.set_missed_tick_behavior(MissedTickBehavior::Skip);
         loop {
             let due =
                 if self.pending_events.is_empty() { self.gateway.next_deadline() } else { Instant::LONG_AGO };
@@ -145,6 +150,9 @@
                     }
                 }
                 _ = state_log.tick() => self.log_state(),
+                _ = drain_log.tick(), if self.gateway.is_draining() => {
+                    info!(open = %self.gateway.open_work(), "draining");
+                }
             }
             // Events that have arrived are processed before timers, whichever of them ended the wait.
             while let Ok(event) = self.priority_events.1.try_recv() {
@@ -185,7 +193,7 @@
                 self.downstreams.remove(&downstream);
             }
             if self.gateway.is_drained(self.clock.now()) {
-                info!("drain finished; shutting down");
+                info!(open = %self.gateway.open_work(), "drain finished; shutting down");
                 return self.shut_down().await;
             }
             // Lets the connections' tasks run between two batches, even if more is due already.
--- a/crates/platform/src/gateway.rs
+++ b/crates/platform/src/gateway.rs
@@ -18,7 +18,7 @@
 use ashglade_engine::{Effect, Engine, EngineConfig, Input, SessionResponse, Tally};
 use ashglade_site::DirectorSettings;
 use bytes::Bytes;
-use tracing::{debug, trace, warn};
+use tracing::{debug, info, trace, warn};
 
 use crate::bus::{DiscoveryUpdate, node_id};
 use crate::causes;
@@ -210,6 +210,33 @@
     line: Bytes,
 }
 
+/// Numbers of what a director still has to do or holds open. Logged while it drains.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct OpenWork {
+    /// Requests without an answer.
+    pub unanswered: usize,
+    /// Sessions that play.
+    pub playing: usize,
+    pub viewer_connections: usize,
+    pub node_connections: usize,
+    /// Releases whose client has no connection.
+    pub release_notices: usize,
+}
+
+impl fmt::Display for OpenWork {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(
+            f,
+            "unanswered={} playing={} viewer_connections={} node_connections={} release_notices={}",
+            self.unanswered,
+            self.playing,
+            self.viewer_connections,
+            self.node_connections,
+            self.release_notices
+        )
+    }
+}
+
 /// Connects viewers' connections, the engine and nodes' connections. See the [module documentation](self).
 pub struct Gateway {
     pub(crate) site: DirectorSettings,
@@ -393,7 +420,31 @@
             Event::DiscoveryUpdates(updates) => {
                 updates.into_iter().for_each(|update| self.apply_discovery_update(now, update))
             }
-            Event::DrainStarted => self.drain_started_at = self.drain_started_at.or(Some(now)),
+            Event::DrainStarted => self.start_drain(now),
+        }
+    }
+
+    /// Returns whether a planned shutdown has begun.
+    pub fn is_draining(&self) -> bool {
+        self.drain_started_at.is_some()
+    }
+
+    fn start_drain(&mut self, now: Instant) {
+        if self.drain_started_at.is_none() {
+            self.drain_started_at = Some(now);
+            info!(open = %self.open_work(), "drain started");
+        }
+    }
+
+    /// Returns what is open at present, for logs.
+    pub fn open_work(&self) -> OpenWork {
+        OpenWork {
+            unanswered: self.sessions.values().filter(|state| !state.answered).count()
+                + self.setup_queue.len(),
+            playing: self.sessions.values().filter(|state| state.playing_at.is_some()).count(),
+            viewer_connections: self.downstreams.len(),
+            node_connections: self.upstreams.len(),
+            release_notices: self.release_notices.iter().filter(|n| n.downstream.is_none()).count(),
         }
     }
 
@@ -576,6 +627,7 @@
 
     /// Answers a request with a release.
     fn refuse(&mut self, downstream: DownstreamId, tag: Tag, cause: u16) {
+        debug!(%tag, link = downstream.0, cause, "request refused");
         let line = message::encode(Verb::Finish, tag, &[], Some(cause), None);
         self.actions.extend(line.map(|line| Action::SendDownstream(downstream, line)));
     }
@@ -689,6 +741,8 @@
         };
         self.sessions.insert(session, state);
         self.session_by_tag.insert(tag, session);
+        let draining_ms = self.drain_started_at.map(|at| (now - at).as_ms());
+        debug!(%tag, link = downstream.0, draining_ms, "session created");
         Some(session)
     }
 
@@ -747,6 +801,8 @@
             connection.idle_since = now;
             connection.playing += usize::from(plays);
         }
+        let draining_ms = self.drain_started_at.map(|at| (now - at).as_ms());
+        debug!(%tag, link = downstream.0, ?answer, draining_ms, "request answered");
         self.actions.extend(line.map(|line| Action::SendDownstream(downstream, line)));
         self.remove_if_finished(session);
     }
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -17,7 +17,7 @@
 mod upstream;
 
 pub use config::Config;
-pub use gateway::{Action, CloseReason, DownstreamId, Event, Gateway, UpstreamId};
+pub use gateway::{Action, CloseReason, DownstreamId, Event, Gateway, OpenWork, UpstreamId};
 pub use line_decoder::LineDecoder;
 pub use message::{Message, Tag, Verb};
 pub use resource_limits::ResourceLimits;
