Planned shutdown: every request answered and every connection closed before the kill

Cause: nothing in the program knew when it may be killed. After SIGTERM health checks failed and all else went on as before; Gateway::is_drained asked only whether 1.5 s had passed and no session was left. With one session that plays the process stayed until SIGKILL, its viewers' connections open and taking requests. Class: an end without a deadline. At fault: gateway.rs, is_drained and DRAIN_GRACE_SECONDS; queue_setup, which took requests at any time; the listener, which nothing ever closed.

Ruled out: SIGHUP just before (fails without one), a stop that is not noticed (logged within 2 ms), health checks that pass (they fail), answers that are not written (nodes had the SETUPs open at the kill), an exit with requests open (all processes ended by SIGKILL).

Change: src/shutdown.rs decides it all from one figure, the earliest kill (longest setup timeout, 3 s at most, plus 0.7 s): requests are served while they can end in time, and refused at once (42) after that; all are answered by a common deadline, which the engine and the policy are told (Input::AnswerBy); connections without an open request are closed from 0.7 s on, unless data has arrived; the listener stays open 150 ms beyond the last of them, as a request that crosses a close is sent again on a new connection, and takes its backlog before it closes; the process ends 0.12 s before the kill at the latest, whether or not sessions play: these are handed over to the next process, and nodes repeat to it what this one could not forward. A request of which no SETUP was sent is now refused (42), not failed (41), at its deadline.

--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -61,6 +61,8 @@
     admission_due: Option<Instant>,
     draining: bool,
     drained: bool,
+    /// When all requests must be answered, whatever their timeouts.
+    answers_due: Option<Instant>,
     slow_start_turns: Vec<usize>,
     slow_start_turn_total: usize,
     slow_start_lease: Option<LeaseExpiry>,
@@ -93,6 +95,8 @@
     SetupAccepted(SessionId, SetupNumber, NodeId),
     /// The outcome of a SETUP or of a playing session, and whether the session is over with it.
     AttemptEnded(SessionId, SetupNumber, NodeId, AttemptOutcome, bool),
+    /// No SETUP may be sent or waited for after this time.
+    DeadlineLimit(Instant),
     RungUnchanged(SessionId, ashglade::ids::Rung),
     NodeDelivery(NodeId, f64),
     NodeLoad(NodeId, LoadReport),
@@ -124,6 +128,7 @@
             admission_due: None,
             draining: false,
             drained: false,
+            answers_due: None,
             slow_start_turns: Vec::new(),
             slow_start_turn_total: 0,
             slow_start_lease: None,
@@ -386,9 +391,23 @@
             }
             Input::SuspectedNodes { nodes } => events.push(PolicyEvent::SuspectedNodes(nodes)),
             Input::Drain => self.draining = true,
+            Input::AnswerBy { deadline } => self.limit_response_deadlines(deadline, events),
         }
     }
 
+    /// Brings the response deadlines of all unanswered requests forward, where they are later.
+    fn limit_response_deadlines(&mut self, deadline: Instant, events: &mut Vec<PolicyEvent>) {
+        self.answers_due = Some(deadline);
+        let latest = deadline - self.config.answer_margin * 0.5;
+        for (session, state) in self.sessions.iter_mut() {
+            if !state.answered && state.response_deadline > latest {
+                state.response_deadline = latest;
+                self.timers.schedule(latest, Timer::ResponseDeadline(session));
+            }
+        }
+        events.push(PolicyEvent::DeadlineLimit(latest - self.config.answer_margin * 0.5));
+    }
+
     /// Returns the session's pending SETUP if it has this number.
     fn pending_setup_mut(&mut self, session: SessionId, setup: SetupNumber) -> Option<&mut PendingSetup> {
         self.sessions.get_mut(session)?.pending_setup.as_mut().filter(|pending| pending.number == setup)
@@ -453,6 +472,12 @@
             effects.push(Effect::Respond { session, response: SessionResponse::Busy { retry_after, why } });
             return;
         }
+        let request = ViewerRequest {
+            setup_timeout: self
+                .answers_due
+                .map_or(request.setup_timeout, |due| request.setup_timeout.min(due - now)),
+            ..request
+        };
         let remaining = request.setup_timeout - self.config.answer_margin;
         let state = self.new_session(now, &request);
         self.timers.schedule(state.response_deadline, Timer::ResponseDeadline(session));
@@ -752,6 +777,7 @@
             round.session_handed_over(session, request, node)
         }
         PolicyEvent::SessionRequested(session, request) => round.session_requested(session, request),
+        PolicyEvent::DeadlineLimit(latest) => round.limit_deadlines(latest),
         PolicyEvent::ViewerLeft(session) => round.viewer_left(session),
         PolicyEvent::SetupAccepted(session, setup, node) => round.session_started(session, setup, node),
         PolicyEvent::AttemptEnded(session, setup, node, outcome, over) => {
--- a/crates/engine/src/messages.rs
+++ b/crates/engine/src/messages.rs
@@ -192,6 +192,8 @@
     SuspectedNodes { nodes: Vec<NodeId> },
     /// Refuse all new sessions from here on.
     Drain,
+    /// Answer all requests by `deadline`, those that are open and those to come, whatever their timeouts.
+    AnswerBy { deadline: Instant },
 }
 
 /// When the leases on a shared resource expire and how much of it the director owns afterwards. The engine
--- a/crates/platform-director/src/event_loop.rs
+++ b/crates/platform-director/src/event_loop.rs
@@ -11,13 +11,14 @@
 use ashglade_platform::{Action, DownstreamId, Event, Gateway, UpstreamId};
 use bytes::Bytes;
 use tokio::net::TcpListener;
-use tokio::sync::{Semaphore, mpsc};
+use tokio::sync::{Semaphore, mpsc, oneshot};
 use tokio::task::yield_now;
-use tokio::time::MissedTickBehavior;
-use tracing::{debug, info, warn};
+use tokio::time::{MissedTickBehavior, timeout_at};
+use tracing::{debug, info};
 
 use crate::connection::ConnectionCommand;
-use crate::{downstream, upstream};
+use crate::listener::Acceptor;
+use crate::upstream;
 
 /// Capacity of the channel of connection events, and their maximum number in one batch. A full channel delays
 /// the tasks that read sockets and loses nothing: unread data stays in the kernel's socket buffers, and flow
@@ -27,14 +28,15 @@
 const PRIORITY_QUEUE_LENGTH: usize = 4;
 /// Interval of the log line with sizes and counters.
 const STATE_LOG_INTERVAL: Duration = Duration::from_secs(10);
-/// Delay before the next `accept` after a failed one, as when the process or host has no descriptor left.
-const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 /// Interval of the log line of what is still open during a drain.
 const DRAIN_LOG_INTERVAL: Duration = Duration::from_millis(500);
 /// Delay of a timer beyond which the process is taken to have been stalled.
 const STALL_THRESHOLD: Duration = Duration::from_millis(50);
-/// Time that connections to nodes have to write their last lines before the process exits.
+/// Time that connections have to write their last lines before the process exits, unless the process may be
+/// killed earlier.
 const SHUTDOWN_FLUSH_TIMEOUT: Duration = Duration::from_millis(300);
+/// Time between the end of that and the earliest kill.
+const SHUTDOWN_KILL_MARGIN: Duration = Duration::from_millis(40);
 
 /// What the tasks of connections send to the event loop.
 pub enum ConnectionEvent {
@@ -76,6 +78,8 @@
     upstreams: BTreeMap<UpstreamId, mpsc::Sender<ConnectionCommand>>,
     /// Events of the next batch.
     pending_events: Vec<Event>,
+    /// Ends the accepting of viewers' connections when it is dropped.
+    stop_listening: Option<oneshot::Sender<()>>,
 }
 
 impl EventLoop {
@@ -90,6 +94,7 @@
             downstreams: BTreeMap::new(),
             upstreams: BTreeMap::new(),
             pending_events: Vec::new(),
+            stop_listening: None,
         }
     }
 
@@ -98,34 +103,17 @@
         self.priority_events.0.clone()
     }
 
-    /// Accepts viewers' connections while descriptors are available for them. Further connections wait in the
-    /// listener's backlog.
-    pub fn accept(&self, listener: TcpListener) -> impl Future<Output = ()> + Send + 'static {
-        let (events, descriptors) = (self.connection_events.0.clone(), self.descriptors.downstream.clone());
-        let max_queued_lines = self.gateway.max_queued_lines();
-        async move {
-            let mut next_id = 0;
-            while let Ok(descriptor) = descriptors.clone().acquire_owned().await {
-                match listener.accept().await {
-                    Ok((stream, client)) => {
-                        let downstream = DownstreamId(next_id);
-                        next_id += 1;
-                        tokio::spawn(downstream::serve(
-                            downstream,
-                            client.ip(),
-                            stream,
-                            descriptor,
-                            max_queued_lines,
-                            events.clone(),
-                        ));
-                    }
-                    Err(error) => {
-                        warn!(%error, "cannot accept a connection; retrying");
-                        tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
-                    }
-                }
-            }
-        }
+    /// Returns the future that accepts viewers' connections on the listener. It ends when the gateway stops
+    /// listening.
+    pub fn accept(&mut self, listener: TcpListener) -> impl Future<Output = ()> + Send + 'static {
+        let (stop, stopped) = oneshot::channel();
+        self.stop_listening = Some(stop);
+        let acceptor = Acceptor::new(
+            self.descriptors.downstream.clone(),
+            self.gateway.max_queued_lines(),
+            self.connection_events.0.clone(),
+        );
+        acceptor.run(listener, stopped)
     }
 
     /// Runs until a drain has finished.
@@ -150,7 +138,7 @@
                     }
                 }
                 _ = state_log.tick() => self.log_state(),
-                _ = drain_log.tick(), if self.gateway.is_draining() => {
+                _ = drain_log.tick(), if self.gateway.shutdown().is_some() => {
                     info!(open = %self.gateway.open_work(), "draining");
                 }
             }
@@ -192,7 +180,7 @@
             for downstream in closed {
                 self.downstreams.remove(&downstream);
             }
-            if self.gateway.is_drained(self.clock.now()) {
+            if self.gateway.is_shutdown_finished() {
                 info!(open = %self.gateway.open_work(), "drain finished; shutting down");
                 return self.shut_down().await;
             }
@@ -201,13 +189,19 @@
         }
     }
 
-    /// Closes all connections and waits until the connections to nodes have written their last lines.
+    /// Closes all connections and waits until they have written their last lines.
     async fn shut_down(self) {
-        let DescriptorPools { upstream, .. } = self.descriptors;
-        let [_, upstream_limit] = self.gateway.descriptor_limits();
+        let DescriptorPools { downstream, upstream } = self.descriptors;
+        let [downstream_limit, upstream_limit] = self.gateway.descriptor_limits();
+        let kill = self.gateway.shutdown().map(|shutdown| self.clock.to_tokio(shutdown.earliest_kill()));
+        let flush_due = tokio::time::Instant::now() + SHUTDOWN_FLUSH_TIMEOUT;
         drop((self.downstreams, self.upstreams));
-        let _ =
-            tokio::time::timeout(SHUTDOWN_FLUSH_TIMEOUT, upstream.acquire_many(upstream_limit as u32)).await;
+        let all_closed = async {
+            let _ = downstream.acquire_many(downstream_limit as u32).await;
+            let _ = upstream.acquire_many(upstream_limit as u32).await;
+        };
+        let due = kill.map_or(flush_due, |at| flush_due.min(at - SHUTDOWN_KILL_MARGIN));
+        let _ = timeout_at(due, all_closed).await;
     }
 
     fn execute(&mut self, action: Action) {
@@ -259,6 +253,7 @@
                     self.pending_events.push(Event::UpstreamUndelivered(upstream, line));
                 }
             }
+            Action::StopListening => drop(self.stop_listening.take()),
             Action::CloseUpstream(upstream) => drop(self.upstreams.remove(&upstream)),
         }
     }
--- a/crates/platform-director/src/lib.rs
+++ b/crates/platform-director/src/lib.rs
@@ -6,6 +6,7 @@
 mod discovery;
 mod downstream;
 mod event_loop;
+mod listener;
 mod upstream;
 
 use std::path::{Path, PathBuf};
@@ -65,7 +66,7 @@
     let last_offset = known_events.last().map_or(0, |event| event.offset);
     let names = config.site.names.clone();
     let updates = known_events.into_iter().map(|event| event.into_discovery_update(&names)).collect();
-    let event_loop = EventLoop::new(gateway, clock, connect_timeout(&config));
+    let mut event_loop = EventLoop::new(gateway, clock, connect_timeout(&config));
     let priority_events = event_loop.priority_sender();
     let _ = priority_events.send(Event::DiscoveryUpdates(updates)).await;
     tokio::spawn(discovery::follow(bus_address_updates, last_offset, names, priority_events.clone()));
--- a/crates/platform/src/causes.rs
+++ b/crates/platform/src/causes.rs
@@ -36,13 +36,15 @@
     }
 }
 
-/// Cause of the release that the viewer gets in reply to its SETUP.
-pub fn answer_cause(answer: &SessionResponse) -> u16 {
+/// Cause of the release that the viewer gets in reply to its SETUP. `setup_sent` tells whether a SETUP of the
+/// session has been sent: without one, trying again is harmless.
+pub fn answer_cause(answer: &SessionResponse, setup_sent: bool) -> u16 {
     match answer {
         SessionResponse::Plays { .. } => NORMAL_RELEASE,
         SessionResponse::Busy { why: BusyReason::NoRoom, .. } => NO_CAPACITY,
         SessionResponse::Busy { .. } => CONGESTION,
-        SessionResponse::TornDown => INTERRUPTED,
+        SessionResponse::TornDown if setup_sent => INTERRUPTED,
+        SessionResponse::TornDown => CONGESTION,
     }
 }
 
--- a/crates/platform/src/gateway.rs
+++ b/crates/platform/src/gateway.rs
@@ -14,6 +14,7 @@
 
 use ashglade::ids::{NodeId, Rung, SessionId, SetupNumber};
 use ashglade::interface::AttemptOutcome;
+use ashglade::shutdown::{ConnectionUse, RemainingWork, Shutdown};
 use ashglade::time::{Instant, Span};
 use ashglade_engine::{Effect, Engine, EngineConfig, Input, SessionResponse, Tally};
 use ashglade_site::DirectorSettings;
@@ -91,7 +92,8 @@
     UpstreamUndelivered(UpstreamId, Bytes),
     /// New events of the event bus.
     DiscoveryUpdates(Vec<DiscoveryUpdate>),
-    /// A planned shutdown is near: health checks fail from here on, while new requests are still served.
+    /// A planned shutdown begins: health checks fail from here on, while requests are still served as long as
+    /// [`Shutdown`] decides.
     DrainStarted,
 }
 
@@ -108,6 +110,8 @@
     /// Close a viewer's connection unless something has been received on it meanwhile. It counts as open
     /// until its close is reported.
     CloseDownstreamIfIdle(DownstreamId),
+    /// Close the listener. Connections that it has accepted by then are still reported.
+    StopListening,
     /// Connect to a node.
     ConnectUpstream(UpstreamId, SocketAddr),
     /// Send a line to a node.
@@ -137,8 +141,8 @@
 /// Descriptors that the process needs for itself: standard streams, the runtime, the listener, and the event
 /// bus at its old and its new address.
 const RESERVED_DESCRIPTORS: usize = 14;
-/// Time after the start of a drain during which requests still arrive.
-const DRAIN_GRACE_SECONDS: f64 = 1.5;
+/// Interval at which connections are closed during a shutdown.
+const SHUTDOWN_CHECK_INTERVAL_SECONDS: f64 = 0.02;
 
 /// An outstanding SETUP of a session at one node.
 pub(crate) struct Attempt {
@@ -176,6 +180,8 @@
     idle_since: Instant,
     /// A valid request has been received.
     useful: bool,
+    /// A SETUP request has been received, valid or not.
+    had_requests: bool,
     /// Number of SETUP requests that are still queued.
     queued_setups: usize,
     /// Sessions that have no answer yet.
@@ -187,6 +193,14 @@
 }
 
 impl DownstreamConnection {
+    /// Returns what a planned shutdown has to know of the connection.
+    fn usage(&self) -> ConnectionUse {
+        if self.queued_setups > 0 || !self.pending.is_empty() {
+            return ConnectionUse::OpenRequests;
+        }
+        ConnectionUse::Unused { opened_at: self.opened_at, had_requests: self.had_requests }
+    }
+
     /// Returns whether the connection carries no request and no playing session.
     fn is_unused(&self) -> bool {
         self.queued_setups == 0 && self.pending.is_empty() && self.playing == 0
@@ -264,7 +278,11 @@
     /// Sent SETUPs that were cancelled and that the node may still start, oldest first.
     pub(crate) cancelled_setups: VecDeque<(NodeId, Tag)>,
     next_check_at: Instant,
-    drain_started_at: Option<Instant>,
+    shutdown: Option<Shutdown>,
+    /// When connections are closed next during a shutdown.
+    next_shutdown_check_at: Instant,
+    /// Whether the process may end.
+    shutdown_finished: bool,
 }
 
 impl Gateway {
@@ -302,7 +320,9 @@
             closing_upstreams: BTreeMap::new(),
             cancelled_setups: VecDeque::new(),
             next_check_at: now,
-            drain_started_at: None,
+            shutdown: None,
+            next_shutdown_check_at: now,
+            shutdown_finished: false,
             site,
         }
     }
@@ -323,17 +343,14 @@
         self.descriptor_limits
     }
 
-    /// Returns whether a drain has finished: no more requests arrive, no session is left, and no line is owed
-    /// to anyone.
-    pub fn is_drained(&self, now: Instant) -> bool {
-        let grace_over =
-            self.drain_started_at.is_some_and(|at| now - at > Span::from_secs(DRAIN_GRACE_SECONDS));
-        let owed = self.release_notices.iter().any(|notice| notice.downstream.is_none());
-        grace_over
-            && self.sessions.is_empty()
-            && self.setup_queue.is_empty()
-            && !owed
-            && self.no_lines_queued_for_nodes()
+    /// Returns whether a planned shutdown has come to its end.
+    pub fn is_shutdown_finished(&self) -> bool {
+        self.shutdown_finished
+    }
+
+    /// Returns the planned shutdown that is in progress.
+    pub fn shutdown(&self) -> Option<&Shutdown> {
+        self.shutdown.as_ref()
     }
 
     /// Returns the numbers of sessions, of viewers' connections, of nodes, and of connections to nodes.
@@ -345,7 +362,8 @@
     pub fn next_deadline(&self) -> Instant {
         let engine = self.engine.as_ref().and_then(Engine::next_deadline);
         let queued = self.setup_queue.front().map(|setup| setup.received_at);
-        [Some(self.next_check_at), self.engine_start_at, queued, engine]
+        let shutdown = self.shutdown.map(|_| self.next_shutdown_check_at);
+        [Some(self.next_check_at), self.engine_start_at, queued, engine, shutdown]
             .into_iter()
             .flatten()
             .min()
@@ -385,6 +403,7 @@
                 self.apply_effect(now, effect);
             }
         }
+        self.advance_shutdown(now);
         self.actions.iter().for_each(|action| trace!(?action, "action"));
         std::mem::take(&mut self.actions)
     }
@@ -420,20 +439,55 @@
             Event::DiscoveryUpdates(updates) => {
                 updates.into_iter().for_each(|update| self.apply_discovery_update(now, update))
             }
-            Event::DrainStarted => self.start_drain(now),
+            Event::DrainStarted => self.start_shutdown(now),
         }
     }
 
-    /// Returns whether a planned shutdown has begun.
-    pub fn is_draining(&self) -> bool {
-        self.drain_started_at.is_some()
+    fn start_shutdown(&mut self, now: Instant) {
+        if self.shutdown.is_some() {
+            return;
+        }
+        let timeouts = &self.site.setup_timeouts;
+        // A service group without a setup timeout may have any.
+        let longest = timeouts.iter().copied().collect::<Option<Vec<Span>>>();
+        let shutdown = Shutdown::start(now, longest.and_then(|timeouts| timeouts.into_iter().max()));
+        info!(
+            exit_due_ms = (shutdown.exit_due() - now).as_ms(),
+            answers_due_ms = (shutdown.answers_due() - now).as_ms(),
+            open = %self.open_work(),
+            "drain started"
+        );
+        self.inputs.push(Input::AnswerBy { deadline: shutdown.answers_due() });
+        self.shutdown = Some(shutdown);
     }
 
-    fn start_drain(&mut self, now: Instant) {
-        if self.drain_started_at.is_none() {
-            self.drain_started_at = Some(now);
-            info!(open = %self.open_work(), "drain started");
+    /// Closes connections and ends listening, as far as the shutdown has come.
+    fn advance_shutdown(&mut self, now: Instant) {
+        let Some(shutdown) = self.shutdown else { return };
+        if now >= self.next_shutdown_check_at {
+            self.next_shutdown_check_at = now + Span::from_secs(SHUTDOWN_CHECK_INTERVAL_SECONDS);
+            let closes = |c: &DownstreamConnection| shutdown.closes(now, c.usage());
+            let closed: Vec<DownstreamId> =
+                self.downstreams.iter().filter(|(_, c)| closes(c)).map(|(&id, _)| id).collect();
+            closed.into_iter().for_each(|downstream| self.close_downstream_if_idle(downstream));
         }
+        let work = RemainingWork {
+            viewer_connections: self.downstreams.len(),
+            open_requests: self.setup_queue.len()
+                + self.sessions.values().filter(|s| !s.answered || s.attempt.is_some()).count(),
+            lines_for_nodes: !self.no_lines_queued_for_nodes(),
+        };
+        let Some(shutdown) = &mut self.shutdown else { return };
+        if shutdown.stops_listening(now, work) {
+            info!(open = %self.open_work(), "no longer listening");
+            self.actions.push(Action::StopListening);
+        }
+        self.shutdown_finished = self.shutdown.is_some_and(|shutdown| shutdown.is_finished(now, work));
+    }
+
+    /// Returns the time since the shutdown began, in milliseconds, for logs.
+    fn draining_ms(&self, now: Instant) -> Option<f64> {
+        self.shutdown.map(|shutdown| (now - shutdown.started_at()).as_ms())
     }
 
     /// Returns what is open at present, for logs.
@@ -494,6 +548,7 @@
             opened_at: now,
             idle_since: now,
             useful: false,
+            had_requests: false,
             queued_setups: 0,
             pending: BTreeSet::new(),
             playing: 0,
@@ -588,7 +643,7 @@
                 }
             }
             (Verb::Echo, tag) => {
-                let passed = u16::from(self.drain_started_at.is_none());
+                let passed = u16::from(self.shutdown.is_none());
                 if passed == 1 {
                     self.schedule_engine_start(now);
                 }
@@ -636,13 +691,15 @@
     /// cancel it.
     fn queue_setup(&mut self, now: Instant, downstream: DownstreamId, tag: Tag, message: Message) {
         let Some(connection) = self.downstreams.get_mut(&downstream) else { return };
+        connection.had_requests = true;
         let setup = QueuedSetup { received_at: now, downstream, tag, message };
         if setup_request::is_handover(&setup.message) {
             // No one waits for an answer, and the engine must know of all handovers in its first round.
             connection.queued_setups += 1;
             return self.handle_setup(now, setup);
         }
-        if connection.pending.len() + connection.queued_setups >= self.limits.pending_setups
+        if self.shutdown.is_some_and(|shutdown| !shutdown.serves(now))
+            || connection.pending.len() + connection.queued_setups >= self.limits.pending_setups
             || self.sessions.len() + self.setup_queue.len() >= self.limits.sessions
         {
             return self.refuse(downstream, tag, causes::CONGESTION);
@@ -741,7 +798,7 @@
         };
         self.sessions.insert(session, state);
         self.session_by_tag.insert(tag, session);
-        let draining_ms = self.drain_started_at.map(|at| (now - at).as_ms());
+        let draining_ms = self.draining_ms(now);
         debug!(%tag, link = downstream.0, draining_ms, "session created");
         Some(session)
     }
@@ -794,14 +851,17 @@
         let description = state.description.take();
         let line = match &description {
             Some(text) if plays => message::encode(Verb::Started, tag, &[], None, Some(text)),
-            _ => message::encode(Verb::Finish, tag, &[], Some(causes::answer_cause(&answer)), None),
+            _ => {
+                let cause = causes::answer_cause(&answer, state.setup_sent);
+                message::encode(Verb::Finish, tag, &[], Some(cause), None)
+            }
         };
         if let Some(connection) = self.downstreams.get_mut(&downstream) {
             connection.pending.remove(&session);
             connection.idle_since = now;
             connection.playing += usize::from(plays);
         }
-        let draining_ms = self.drain_started_at.map(|at| (now - at).as_ms());
+        let draining_ms = self.draining_ms(now);
         debug!(%tag, link = downstream.0, ?answer, draining_ms, "request answered");
         self.actions.extend(line.map(|line| Action::SendDownstream(downstream, line)));
         self.remove_if_finished(session);
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -25,4 +25,6 @@
 #[cfg(test)]
 mod equivalence_tests;
 #[cfg(test)]
+mod shutdown_tests;
+#[cfg(test)]
 mod tests;
--- a/crates/platform/src/tests.rs
+++ b/crates/platform/src/tests.rs
@@ -109,6 +109,7 @@
                 Action::SendUpstream(upstream, line) => {
                     format!("node {} < {}", self.upstream_names[&upstream], text(&line))
                 }
+                Action::StopListening => "stop listening".to_string(),
                 Action::CloseUpstream(upstream) => format!("close {}", self.upstream_names[&upstream]),
             };
             let _ = writeln!(self.trace, "{entry}");
@@ -133,6 +134,10 @@
         self.viewer_sends(viewer, &setup_line(tag, "home:0;copies:3;top:2", "v=0"))
     }
 
+    pub fn gateway_is_finished(&self) -> bool {
+        self.gateway.is_shutdown_finished()
+    }
+
     fn upstream(&self, name: &str) -> UpstreamId {
         *self.upstream_names.iter().find(|(_, known)| *known == name).unwrap().0
     }
@@ -1027,7 +1032,7 @@
     // The process is stalled meanwhile.
     harness.now = harness.now + Span::from_ms(3500.0);
     harness.process([connected]).expect_trace(expect![[r#"
-        viewer 1 < {"verb":"FINISH","tag":"01","opts":{},"rc":41}
+        viewer 1 < {"verb":"FINISH","tag":"01","opts":{},"rc":42}
         node a0 < {"verb":"RATE","tag":"a0","opts":{"rung":"1"}}
     "#]]);
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,5 +4,6 @@
 pub mod ids;
 pub mod interface;
 pub mod policy;
+pub mod shutdown;
 pub mod state;
 pub mod time;
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -975,6 +975,20 @@
         }
     }
 
+    /// Limits the time of all unanswered requests: no SETUP is sent, or outcome waited for, after `latest`.
+    pub fn limit_deadlines(&mut self, latest: Instant) {
+        let director = &mut *self.director;
+        let unanswered: Vec<SessionId> = director
+            .sessions
+            .iter()
+            .filter(|(_, s)| !s.answered && !s.playing && s.deadline > latest)
+            .map(|(id, _)| id)
+            .collect();
+        for id in unanswered {
+            director.sessions.update(&director.params, id, |s| s.deadline = latest);
+        }
+    }
+
     /// Reports that the viewer has left. An outcome may still follow.
     pub fn viewer_left(&mut self, session: SessionId) {
         let director = &mut *self.director;
