Handover: an end of a session that is reported before its handover ends it

Cause: a new process learns of its sessions one by one. A node repeats a release on the first connection that is opened to it, which the first handover opens; it arrives before the handovers of the node's other sessions, finds no session and is dropped (upstream.rs, the match on FINISH: '_ => {}'). Likewise a viewer's end on another connection than that of its handover (gateway.rs, downstream_message). The handover then takes over a session that nobody will end.

Ruled out: a release that the old process consumed (the node repeats it), a viewer without a connection (it had one).

Both tests failed before: the handover gave no line in either.

--- a/crates/platform/src/gateway.rs
+++ b/crates/platform/src/gateway.rs
@@ -24,6 +24,7 @@
 use crate::bus::{DiscoveryUpdate, node_id};
 use crate::causes;
 use crate::config::Config;
+use crate::early_ends::{EarlyEnd, EarlyEnds};
 use crate::message::{self, Message, Tag, Verb};
 use crate::resource_limits::ResourceLimits;
 use crate::setup_request::{self, SetupRequest};
@@ -141,6 +142,8 @@
 /// Descriptors that the process needs for itself: standard streams, the runtime, the listener, and the event
 /// bus at its old and its new address.
 const RESERVED_DESCRIPTORS: usize = 14;
+/// Time after the start of a process within which sessions are handed over to it.
+const HANDOVER_PERIOD_SECONDS: f64 = 30.0;
 /// Interval at which connections are closed during a shutdown.
 const SHUTDOWN_CHECK_INTERVAL_SECONDS: f64 = 0.02;
 
@@ -278,6 +281,8 @@
     /// Sent SETUPs that were cancelled and that the node may still start, oldest first.
     pub(crate) cancelled_setups: VecDeque<(NodeId, Tag)>,
     next_check_at: Instant,
+    created_at: Instant,
+    early_ends: EarlyEnds,
     shutdown: Option<Shutdown>,
     /// When connections are closed next during a shutdown.
     next_shutdown_check_at: Instant,
@@ -320,6 +325,8 @@
             closing_upstreams: BTreeMap::new(),
             cancelled_setups: VecDeque::new(),
             next_check_at: now,
+            created_at: now,
+            early_ends: EarlyEnds::default(),
             shutdown: None,
             next_shutdown_check_at: now,
             shutdown_finished: false,
@@ -637,9 +644,12 @@
             (Verb::Start, Some(tag)) => self.queue_setup(now, downstream, tag, message),
             (Verb::Finish, Some(tag)) => {
                 self.cancel_queued_setup(tag);
-                if let Some(&session) = self.session_by_tag.get(&tag) {
-                    self.mark_useful(now, downstream);
-                    self.viewer_left(session);
+                match self.session_by_tag.get(&tag) {
+                    Some(&session) => {
+                        self.mark_useful(now, downstream);
+                        self.viewer_left(session);
+                    }
+                    None => self.keep_early_end(now, tag, EarlyEnd::Viewer),
                 }
             }
             (Verb::Echo, tag) => {
@@ -826,6 +836,24 @@
         };
         self.inputs.push(Input::SessionHandedOver { session, request: request.viewer_request, node });
         self.session_plays(now, session, node);
+        match self.early_ends.take(now, tag) {
+            Some(EarlyEnd::Viewer) => self.viewer_left(session),
+            Some(EarlyEnd::Node { node: ended_at, cause }) if ended_at == node => {
+                let (outcome, notify_viewer) = causes::session_outcome(cause);
+                self.end_session(now, session, outcome, notify_viewer);
+            }
+            _ => {}
+        }
+    }
+
+    /// Keeps the end of a session that may still be handed over to this process.
+    pub(crate) fn keep_early_end(&mut self, now: Instant, tag: Tag, end: EarlyEnd) {
+        if now - self.created_at > Span::from_secs(HANDOVER_PERIOD_SECONDS) {
+            return;
+        }
+        if !self.early_ends.keep(now, tag, end, self.limits.outstanding) {
+            warn!(%tag, "too many ends of unknown sessions; this one is dropped and does not apply to a handover");
+        }
     }
 
     /// Handles the viewer's side of the end of a session: it cancelled the request, ended the session or
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod bus;
 pub mod causes;
 pub mod config;
+mod early_ends;
 pub mod gateway;
 pub mod line_decoder;
 pub mod message;
@@ -25,6 +26,8 @@
 #[cfg(test)]
 mod equivalence_tests;
 #[cfg(test)]
+mod session_end_tests;
+#[cfg(test)]
 mod shutdown_tests;
 #[cfg(test)]
 mod tests;
--- /dev/null
+++ b/crates/platform/src/session_end_tests.rs
@@ -0,0 +1,41 @@
+//! Ends of playing sessions that are reported early, late, or by no one.
+
+use expect_test::expect;
+
+use crate::tests::Harness;
+
+/// A handover of the session `tag`, which plays at the node `a`.
+fn handover(harness: &mut Harness, viewer: u64, tag: u64) -> &mut Harness {
+    harness.viewer_sends(
+        viewer,
+        &format!(
+            r#"{{"verb":"START","tag":"{tag:016x}","opts":{{"class":"clip","left":"3000","key":"7f3a","extras":"home:0;copies:3;top:2;at:a"}},"blob":"v=0"}}"#
+        ),
+    )
+}
+
+/// Guards against a session that stands for its viewer for good, because its node reported the end on the first
+/// connection of the new process, before the session was handed over.
+#[test]
+fn a_nodes_release_that_precedes_the_handover_ends_the_session() {
+    let mut harness = Harness::started();
+    harness.node_connected("a0").node_sends("a0", "FINISH", 0x01, r#","opts":{},"rc":16"#);
+    harness.viewer_connects(1).take_trace();
+    handover(&mut harness, 1, 0x01).expect_trace(expect![[r#"
+        viewer 1 < {"verb":"FINISH","tag":"01","opts":{},"rc":16}
+    "#]]);
+    // The session of another tag goes on.
+    handover(&mut harness, 1, 0x02).advance(200.0).expect_trace(expect![[r#""#]]);
+}
+
+/// Guards against a session that is left at its node, because its viewer ended it on another connection than
+/// the one on which it is handed over.
+#[test]
+fn an_end_by_the_viewer_that_precedes_the_handover_ends_the_session() {
+    let mut harness = Harness::started();
+    harness.node_connected("a0").viewer_connects(1).viewer_connects(2);
+    harness.viewer_sends(2, r#"{"verb":"FINISH","tag":"0000000000000001","opts":{},"rc":16}"#).take_trace();
+    handover(&mut harness, 1, 0x01).expect_trace(expect![[r#"
+        node a0 < {"verb":"FINISH","tag":"01","opts":{},"rc":16}
+    "#]]);
+}
--- a/crates/platform/src/upstream.rs
+++ b/crates/platform/src/upstream.rs
@@ -18,6 +18,7 @@
 
 use crate::bus::DiscoveryUpdate;
 use crate::causes;
+use crate::early_ends::EarlyEnd;
 use crate::gateway::{Action, Attempt, CloseReason, Gateway, UpstreamId};
 use crate::message::{self, Message, Tag, Verb, parse_finite};
 
@@ -315,6 +316,7 @@
                         self.end_session(now, session, outcome, notify_viewer);
                         self.report_node_alive(node, outcome, same_connection);
                     }
+                    (None, _) => self.keep_early_end(now, tag, EarlyEnd::Node { node, cause }),
                     _ => {}
                 }
             }
