Removed nodes: sessions end though another process accepts at the node's address

Cause: when a node's process ends, its connections are reset, and the director connects again at once as sessions play there. Another node may have taken the address and accepts. The removal, reported a moment later, clears the address but keeps that connection, which passes health checks, so neither 'no connection' nor 'silent' ever applies (upstream.rs, apply_discovery_update and check_node).

Change: a connection counts as the removed node's only if a message about one of its sessions has come on it. Without one, a removed node's sessions are lost at once, and released there too in case it still runs.

An existing trace changes: in a_snapshot_after_a_gap_removes_only_the_nodes_it_does_not_name the session at `a` is over with the update and no longer 149 ms after its connection ended; nothing about it had come on that connection. The order and number of the lines are compared as before. The new test failed before: no line at all.

--- a/crates/platform/src/session_end_tests.rs
+++ b/crates/platform/src/session_end_tests.rs
@@ -39,3 +39,19 @@
         node a0 < {"verb":"FINISH","tag":"01","opts":{},"rc":16}
     "#]]);
 }
+
+/// Guards against sessions that stand for their viewers for good, because the connection that was opened anew
+/// after their node's end leads to another node at the same address.
+#[test]
+fn sessions_of_a_removed_node_end_though_another_process_accepts_at_its_address() {
+    let mut harness = Harness::started();
+    harness.node_connected("a0").node_disconnected("a0", crate::CloseReason::Lost);
+    harness.advance(600.0).node_connected("a1").take_trace();
+    let removed = r#"{"name":"a","address":"10.0.0.1:80","zone":"east","type":"std","group":0,"status":"removed","weight":4}"#;
+    let batch = format!(r#"{{"offset":2,"batch":[{{"offset":2,"topology":{{"endpoints":[{removed}]}}}}]}}"#);
+    harness.publish(&batch, 1).advance(500.0).expect_trace(expect![[r#"
+        node a1 < {"verb":"FINISH","tag":"a0","opts":{},"rc":16}
+        viewer 0 < {"verb":"FINISH","tag":"a0","opts":{},"rc":41}
+        close a1
+    "#]]);
+}
--- a/crates/platform/src/tests.rs
+++ b/crates/platform/src/tests.rs
@@ -1125,13 +1125,14 @@
         ),
         1,
     );
-    // The session at `c` continues, and the next SETUP uses the same connection. The session at `a` ends with
-    // its connection, and `a` is not reconnected.
+    // The session at `c` continues, and the next SETUP uses the same connection. The session at `a` is over with
+    // the update, as no message about it has come on that connection, and `a` is not reconnected.
     request_from_one_node(&mut harness, 2..3).node_disconnected("a0", CloseReason::Lost).advance(300.0);
     harness.node_sends("c1", "FINISH", 1, r#","opts":{},"rc":16"#).expect_trace(expect![[r#"
-        node c1 < {"verb":"START","tag":"02","opts":{"class":"clip","key":"7f3a","left":"400","rung":"0"},"blob":"v=0"}
-        after 149 ms:
+        node a0 < {"verb":"FINISH","tag":"a0","opts":{},"rc":16}
         viewer 0 < {"verb":"FINISH","tag":"a0","opts":{},"rc":41}
+        close a0
+        node c1 < {"verb":"START","tag":"02","opts":{"class":"clip","key":"7f3a","left":"400","rung":"0"},"blob":"v=0"}
         viewer 1 < {"verb":"FINISH","tag":"01","opts":{},"rc":16}
     "#]]);
 }
--- a/crates/platform/src/upstream.rs
+++ b/crates/platform/src/upstream.rs
@@ -107,6 +107,8 @@
     last_heard_at: Instant,
     /// The connection was established at once after another one was lost shortly after a message.
     resumes: bool,
+    /// The node has sent a message about a session here, so its process is the one that the sessions know.
+    carried_session: bool,
     /// Sessions whose SETUP was sent here and has no answer.
     pending: BTreeSet<SessionId>,
     /// Releases sent here that the node has not confirmed, with the time of each.
@@ -142,7 +144,7 @@
             let needs_connection =
                 had_no_address && node_state.address.is_some() && !node_state.playing.is_empty();
             if endpoint.removed {
-                node_state.queued_lines.clear();
+                self.node_removed(now, endpoint.node);
             }
             if let Some(started) = endpoint.info.started {
                 self.node_started(now, endpoint.node, started);
@@ -155,12 +157,39 @@
             nodes.push(NodeUpdate { node, status: NodeStatus::Gone });
             if let Some(node_state) = self.nodes.get_mut(&node) {
                 (node_state.listed, node_state.removed, node_state.address) = (true, true, None);
-                node_state.queued_lines.clear();
+                self.node_removed(now, node);
             }
         }
         self.inputs.push(Input::DiscoveryUpdate { full: update.snapshot, nodes });
     }
 
+    /// Drops the lines that are queued for a removed node, and the connections that may lead to another
+    /// process, which has taken its address. Unless a connection is proven to lead to the removed node, its
+    /// sessions are lost: they are released there too, in case it still runs.
+    fn node_removed(&mut self, now: Instant, node: NodeId) {
+        let Some(node_state) = self.nodes.get_mut(&node) else { return };
+        node_state.queued_lines.clear();
+        let is_proven = |upstream: &&UpstreamId| {
+            self.upstreams.get(upstream).is_some_and(|connection| connection.carried_session)
+        };
+        let upstreams = &node_state.upstreams;
+        let unproven: Vec<UpstreamId> = upstreams.iter().filter(|id| !is_proven(id)).copied().collect();
+        if unproven.len() == upstreams.len() {
+            let connected =
+                unproven.iter().copied().find(|id| self.upstreams.get(id).is_some_and(|c| c.connected));
+            let tags = node_state.playing.iter().filter_map(|id| Some(self.sessions.get(id)?.tag));
+            let releases: Vec<Bytes> = tags.filter_map(encode_release).collect();
+            for (upstream, line) in connected.into_iter().flat_map(|id| releases.iter().map(move |l| (id, l)))
+            {
+                self.actions.push(Action::SendUpstream(upstream, line.clone()));
+            }
+            self.end_lost_sessions(now, node, now);
+        }
+        for upstream in unproven {
+            self.abandon_upstream(now, upstream);
+        }
+    }
+
     /// Ends the sessions and the connections that are older than the start of the node's process: they are
     /// lost.
     fn node_started(&mut self, now: Instant, node: NodeId, started: Instant) {
@@ -249,6 +278,10 @@
             .filter(|attempt| was_sent_here(attempt))
             .map(|attempt| attempt.setup);
         let plays_here = state.and_then(|state| state.playing_at).is_some_and(|(at, _)| at == node);
+        let names_session = attempt.is_some() || plays_here;
+        if let Some(connection) = self.upstreams.get_mut(&upstream).filter(|_| names_session) {
+            connection.carried_session = true;
+        }
         // After a restart, nothing could be received on a connection, or about a session, that is older than
         // the suspicion. A release without a cause, or with the cause for interrupted sessions, does not
         // count for its session.
@@ -730,6 +763,7 @@
             created_at: now,
             last_heard_at: now,
             resumes: false,
+            carried_session: false,
             pending: BTreeSet::new(),
             unconfirmed_releases: VecDeque::new(),
             health_checks: BTreeMap::new(),
