Unlisted nodes: a queued line no longer delays the end of their sessions

Cause: check_node returns early to connect for queued lines while the node has no connection (upstream.rs, the branch before 'playing'). A node that only a handover names has no address, so nothing is connected and nothing after that branch runs until the line, here a rung change, expires after 8 s. For listed nodes the lines are dropped; unlisted ones were forgotten. Ruled out: a handover that is refused, a timeout that starts anew (the log has no line for the node at all).

Change: the branch applies only to nodes with an address. The new test failed before (no release within 2.3 s).

--- a/crates/platform/src/session_end_tests.rs
+++ b/crates/platform/src/session_end_tests.rs
@@ -4,16 +4,17 @@
 
 use crate::tests::Harness;
 
-/// A handover of the session `tag`, which plays at the node `a`.
-fn handover(harness: &mut Harness, viewer: u64, tag: u64) -> &mut Harness {
-    harness.viewer_sends(
-        viewer,
-        &format!(
-            r#"{{"verb":"START","tag":"{tag:016x}","opts":{{"class":"clip","left":"3000","key":"7f3a","extras":"home:0;copies:3;top:2;at:a"}},"blob":"v=0"}}"#
-        ),
+fn handover_line(tag: u64, node: &str) -> String {
+    format!(
+        r#"{{"verb":"START","tag":"{tag:016x}","opts":{{"class":"clip","left":"3000","key":"7f3a","extras":"home:0;copies:3;top:2;at:{node}"}},"blob":"v=0"}}"#
     )
 }
 
+/// Hands over the session `tag`, which plays at the node `a`.
+fn handover(harness: &mut Harness, viewer: u64, tag: u64) -> &mut Harness {
+    harness.viewer_sends(viewer, &handover_line(tag, "a"))
+}
+
 /// Guards against a session that stands for its viewer for good, because its node reported the end on the first
 /// connection of the new process, before the session was handed over.
 #[test]
@@ -55,3 +56,22 @@
         close a1
     "#]]);
 }
+
+/// Guards against a session at an unknown node that stands for its viewer until a line that is queued for that
+/// node expires.
+#[test]
+fn a_line_queued_for_an_unlisted_node_does_not_delay_the_end_of_its_sessions() {
+    let mut harness = Harness::started();
+    harness.node_connected("a0").viewer_connects(1);
+    for tag in [0x01, 0x02] {
+        let line = handover_line(tag, "d");
+        harness.viewer_sends(1, &line);
+    }
+    harness.viewer_sends(1, r#"{"verb":"FINISH","tag":"0000000000000001","opts":{},"rc":16}"#).take_trace();
+    harness.advance(2300.0).expect_trace(expect![[r#"
+        after 399 ms:
+        node a0 < {"verb":"RATE","tag":"a0","opts":{"rung":"1"}}
+        after 2149 ms:
+        viewer 1 < {"verb":"FINISH","tag":"02","opts":{},"rc":41}
+    "#]]);
+}
--- a/crates/platform/src/upstream.rs
+++ b/crates/platform/src/upstream.rs
@@ -918,7 +918,8 @@
         node_state.queued_lines.retain(|(queued_at, _)| !has_elapsed(*queued_at, QUEUED_LINE_TTL_SECONDS));
         let reconnect_delay =
             RECONNECT_INTERVAL_SECONDS * f64::from(1u32 << node_state.connect_failures.min(5));
-        if node_state.upstreams.is_empty()
+        if node_state.address.is_some()
+            && node_state.upstreams.is_empty()
             && !node_state.queued_lines.is_empty()
             && has_elapsed(node_state.last_connect_at, reconnect_delay)
         {
