Planned shutdown: sessions are attended until all viewers' connections are closed

Cause: a node repeats the release of a session on the next connection only. A stopping director whose viewers had no connection any more took it on a connection of its own and could not forward it; the next process never heard of it.

A process that is stopping tries to reach nodes that are owed a line each quarter of a second, without longer delays, as it has no time for them. Sessions' ends, releases at nodes and releases that wait for a viewer have debug lines with the id.

--- a/crates/platform/src/gateway.rs
+++ b/crates/platform/src/gateway.rs
@@ -201,6 +201,9 @@
         if self.queued_setups > 0 || !self.pending.is_empty() {
             return ConnectionUse::OpenRequests;
         }
+        if self.playing > 0 {
+            return ConnectionUse::PlayingSessions;
+        }
         ConnectionUse::Unused { opened_at: self.opened_at, had_requests: self.had_requests }
     }
 
@@ -860,6 +863,7 @@
     /// disconnected.
     fn viewer_left(&mut self, session: SessionId) {
         let Some(state) = self.sessions.get_mut(&session) else { return };
+        debug!(tag = %state.tag, answered = state.answered, "viewer left or ended its session");
         state.answered = true;
         let downstream = state.downstream;
         if let Some(connection) = self.downstreams.get_mut(&downstream) {
@@ -924,6 +928,8 @@
         let downstream = self.downstream_of(client, preferred);
         if let Some(id) = downstream {
             self.actions.push(Action::SendDownstream(id, line.clone()));
+        } else {
+            debug!(to = %client, "a release waits for a connection of its client");
         }
         if self.release_notices.len() >= self.limits.outstanding
             && let Some(dropped) = self.release_notices.pop_front()
@@ -946,6 +952,7 @@
         self.inputs.push(Input::SessionEnded { session, outcome });
         let Some(state) = self.sessions.get(&session) else { return };
         let (tag, client, downstream) = (state.tag, state.client, state.downstream);
+        debug!(%tag, ?outcome, notify_viewer, "playing session ended");
         let line = message::encode(Verb::Finish, tag, &[], Some(causes::release_cause(outcome)), None);
         if let Some(line) = line.filter(|_| notify_viewer) {
             self.send_release_notice(now, client, Some(downstream), line);
--- a/crates/platform/src/shutdown_tests.rs
+++ b/crates/platform/src/shutdown_tests.rs
@@ -2,8 +2,8 @@
 
 use expect_test::expect;
 
+use crate::Event;
 use crate::tests::Harness;
-use crate::{DownstreamId, Event};
 
 /// Guards against a request that hangs at a node until the process is killed, and against one that is taken
 /// when it can't be answered any longer (incident of 2026-12-04).
@@ -23,16 +23,12 @@
         connect b3
         after 600 ms:
         node a0 < {"verb":"START","tag":"01","opts":{"class":"clip","key":"7f3a","left":"2380","rung":"2"},"blob":"v=0"}
-        after 700 ms:
-        viewer 0 closed
         after 2980 ms:
         node a0 < {"verb":"FINISH","tag":"01","opts":{},"rc":16}
         close a0
         connect a4
         viewer 1 < {"verb":"FINISH","tag":"01","opts":{},"rc":34}
         viewer 1 closed
-        after 3140 ms:
-        stop listening
     "#]]);
     harness.viewer_connects(2).request_session(2, 0x03).expect_trace(expect![[r#"
         viewer 2 < {"verb":"FINISH","tag":"03","opts":{},"rc":42}
@@ -40,12 +36,16 @@
     harness.advance(300.0).expect_trace(expect![[r#"
         after 20 ms:
         viewer 2 closed
+        after 40 ms:
+        viewer 0 closed
+        after 180 ms:
+        stop listening
     "#]]);
     assert!(harness.gateway_is_finished());
 }
 
 #[test]
-fn unused_connections_are_closed_once_no_request_is_expected_and_the_process_ends() {
+fn unused_connections_are_closed_first_and_those_with_playing_sessions_last() {
     let mut harness = Harness::started();
     harness.node_connected("a0").viewer_connects(1).process([Event::DrainStarted]).take_trace();
     harness.advance(690.0).expect_trace(expect![[r#"
@@ -54,7 +54,6 @@
     "#]]);
     harness.advance(30.0).expect_trace(expect![[r#"
         after 10 ms:
-        viewer 0 closed
         viewer 1 closed
     "#]]);
     // A request that crossed the close is sent again on a new connection, and is served.
@@ -66,14 +65,35 @@
         node c1 < {"verb":"START","tag":"01","opts":{"class":"clip","key":"7f3a","left":"400","rung":"2"},"blob":"v=0"}
         viewer 2 < {"verb":"STARTED","tag":"01","opts":{},"blob":"m=1"}
     "#]]);
-    harness.advance(140.0).expect_trace(expect![[r#"
+    // Sessions are attended until all connections are closed.
+    harness.advance(1000.0).node_sends("c1", "FINISH", 0x01, r#","opts":{},"rc":16"#);
+    harness.expect_trace(expect![[r#"
+        viewer 2 < {"verb":"FINISH","tag":"01","opts":{},"rc":16}
+    "#]]);
+    harness.advance(1570.0).expect_trace(expect![[r#"
         after 20 ms:
         viewer 2 closed
+        after 1560 ms:
+        viewer 0 closed
     "#]]);
-    harness.process([Event::DownstreamClosed(DownstreamId(2), Vec::new())]);
-    harness.advance(300.0).expect_trace(expect![[r#"
-        after 40 ms:
+    // What ends from here on is for the next process: there is no new connection to the node.
+    harness.node_disconnected("a0", crate::CloseReason::Lost).advance(230.0).expect_trace(expect![[r#"
+        after 130 ms:
         stop listening
     "#]]);
     assert!(harness.gateway_is_finished(), "the session that plays does not delay the end");
 }
+
+#[test]
+fn a_director_without_sessions_ends_once_no_request_is_expected() {
+    let mut harness = Harness::started();
+    harness.node_connected("a0").node_sends("a0", "FINISH", 0xa0, r#","opts":{},"rc":16"#);
+    harness.process([Event::DrainStarted]).take_trace();
+    harness.advance(1000.0).expect_trace(expect![[r#"
+        after 700 ms:
+        viewer 0 closed
+        after 860 ms:
+        stop listening
+    "#]]);
+    assert!(harness.gateway_is_finished());
+}
--- a/crates/platform/src/upstream.rs
+++ b/crates/platform/src/upstream.rs
@@ -35,6 +35,8 @@
 /// Time between connection attempts to a node with playing sessions. For a node that only has queued lines,
 /// each failed attempt doubles it.
 const RECONNECT_INTERVAL_SECONDS: f64 = 0.25;
+/// Maximum number of times that failed attempts double that time.
+const MAX_DELAY_DOUBLINGS: u32 = 5;
 /// Time that a line is queued for a node that accepts no connection, and the age up to which unconfirmed
 /// releases of a lost connection are sent again.
 const QUEUED_LINE_TTL_SECONDS: f64 = 8.0;
@@ -677,6 +679,7 @@
         if let Some((node, _)) = self.sessions.get(&session).and_then(|state| state.playing_at)
             && let Some(tag) = self.sessions.get(&session).map(|state| state.tag)
         {
+            debug!(%tag, "releasing the session at its node");
             self.clear_playing(session);
             self.send_to_node(now, node, Verb::Finish, tag, &[], Some(causes::NORMAL_RELEASE));
         }
@@ -740,6 +743,11 @@
 
     /// Starts to connect to the node, unless it has no address, or the limits on connections don't allow it.
     fn connect(&mut self, now: Instant, node: NodeId) {
+        // A node repeats the release of a session on the next connection only. Once this process has no
+        // connection to a viewer any more, that one is to be the next process's.
+        if self.shutdown().is_some_and(|shutdown| !shutdown.attends_sessions(now)) {
+            return;
+        }
         let Some(node_state) = self.nodes.get_mut(&node) else { return };
         let Some(address) =
             node_state.address.filter(|_| node_state.upstreams.len() < MAX_UPSTREAMS_PER_NODE)
@@ -908,6 +916,7 @@
 
     /// Expires queued lines, sends health checks, reconnects, and removes the node when it is gone.
     fn check_node(&mut self, now: Instant, node: NodeId) {
+        let shutting_down = self.shutdown().is_some();
         let Some(node_state) = self.nodes.get_mut(&node) else { return };
         let has_elapsed = |since: Instant, seconds: f64| now - since > Span::from_secs(seconds);
         if node_state.address.is_none() && node_state.listed {
@@ -916,8 +925,9 @@
             node_state.queued_lines.clear();
         }
         node_state.queued_lines.retain(|(queued_at, _)| !has_elapsed(*queued_at, QUEUED_LINE_TTL_SECONDS));
-        let reconnect_delay =
-            RECONNECT_INTERVAL_SECONDS * f64::from(1u32 << node_state.connect_failures.min(5));
+        // A process that ends soon has no time for longer delays.
+        let doublings = if shutting_down { 0 } else { node_state.connect_failures.min(MAX_DELAY_DOUBLINGS) };
+        let reconnect_delay = RECONNECT_INTERVAL_SECONDS * f64::from(1u32 << doublings);
         if node_state.address.is_some()
             && node_state.upstreams.is_empty()
             && !node_state.queued_lines.is_empty()
--- a/src/shutdown.rs
+++ b/src/shutdown.rs
@@ -3,12 +3,13 @@
 //!
 //! All times follow from one figure, the earliest time at which the process may be killed. A request that is
 //! on an open connection then is lost, however late it was sent, so every connection of a viewer is closed
-//! before. A connection without an open request is closed as soon as no request is expected on it any
-//! longer; the others are closed once their requests are answered, which is limited by a common deadline.
+//! before. A connection without an open request and without a playing session is closed as soon as no request
+//! is expected on it any longer; the others are closed by a common time, before which all requests are
+//! answered.
 //!
-//! Playing sessions don't delay the end. They go on at their nodes without a director, and are handed over to
-//! the next process. Their nodes repeat to that process what this one would otherwise receive and could not
-//! forward any longer, as it has no connection of a viewer.
+//! Playing sessions are attended until that time, and don't delay the end beyond it. They go on at their nodes
+//! without a director, and are handed over to the next process. Their nodes repeat to that process what this
+//! one would otherwise receive and could not forward any longer, as it has no connection of a viewer.
 
 use crate::time::{Instant, Span};
 
@@ -37,7 +38,9 @@
 pub enum ConnectionUse {
     /// It has requests without an answer.
     OpenRequests,
-    /// It was opened at this time, and all its requests, if any, are answered.
+    /// It has none, and sessions play that were requested on it.
+    PlayingSessions,
+    /// It was opened at this time, all its requests, if any, are answered, and nothing plays.
     Unused { opened_at: Instant, had_requests: bool },
 }
 
@@ -108,7 +111,7 @@
         self.close_due() - Span::from_secs(CLOSE_SECONDS)
     }
 
-    /// Returns from when on connections are closed that have no open request.
+    /// Returns from when on connections are closed that are unused.
     fn close_unused_from(&self) -> Instant {
         (self.started_at + Span::from_secs(REQUESTS_EXPECTED_SECONDS)).min(self.close_due())
     }
@@ -119,11 +122,18 @@
         now + Span::from_secs(MIN_SETUP_SECONDS) <= self.answers_due()
     }
 
+    /// Returns whether viewers' connections with playing sessions are still open, so that what nodes report of
+    /// these sessions reaches their viewers.
+    pub fn attends_sessions(&self, now: Instant) -> bool {
+        now < self.close_due()
+    }
+
     /// Returns whether a viewer's connection is closed now, unless data has been received on it that is not
     /// processed yet.
     pub fn closes(&self, now: Instant, usage: ConnectionUse) -> bool {
         match usage {
             ConnectionUse::OpenRequests => false,
+            ConnectionUse::PlayingSessions => now >= self.close_due(),
             ConnectionUse::Unused { opened_at, had_requests } => {
                 let awaits_request =
                     !had_requests && now - opened_at < Span::from_secs(FIRST_REQUEST_SECONDS);
