Handover: a session at a node that was removed before is over at once

Cause: the row of a removed node without sessions was dropped at the next check, within 0.25 s of the start, so the handover took it for one that the list has yet to name (upstream.rs, check_node). Change: rows of removed nodes stay for the first 30 s of a process, in which sessions are handed over; adopt_session refuses these already. They are as many as the configuration names. The test has the release in the same call; before, it came 2 s later.

--- a/crates/platform/src/gateway.rs
+++ b/crates/platform/src/gateway.rs
@@ -143,7 +143,7 @@
 /// bus at its old and its new address.
 const RESERVED_DESCRIPTORS: usize = 14;
 /// Time after the start of a process within which sessions are handed over to it.
-const HANDOVER_PERIOD_SECONDS: f64 = 30.0;
+pub(crate) const HANDOVER_PERIOD_SECONDS: f64 = 30.0;
 /// Interval at which connections are closed during a shutdown.
 const SHUTDOWN_CHECK_INTERVAL_SECONDS: f64 = 0.02;
 
@@ -284,7 +284,7 @@
     /// Sent SETUPs that were cancelled and that the node may still start, oldest first.
     pub(crate) cancelled_setups: VecDeque<(NodeId, Tag)>,
     next_check_at: Instant,
-    created_at: Instant,
+    pub(crate) created_at: Instant,
     early_ends: EarlyEnds,
     shutdown: Option<Shutdown>,
     /// When connections are closed next during a shutdown.
--- a/crates/platform/src/session_end_tests.rs
+++ b/crates/platform/src/session_end_tests.rs
@@ -75,3 +75,18 @@
         viewer 1 < {"verb":"FINISH","tag":"02","opts":{},"rc":41}
     "#]]);
 }
+
+/// Guards against a session that stands for its viewer for two seconds more, which a series of shutdowns repeats
+/// without end, because its node was removed before it was handed over.
+#[test]
+fn a_session_handed_over_at_a_removed_node_is_over_at_once() {
+    let mut harness = Harness::started();
+    harness.node_connected("a0").viewer_connects(1);
+    let removed = r#"{"name":"b","address":"10.0.0.2:80","zone":"east","type":"std","group":1,"status":"removed","weight":4}"#;
+    let batch = format!(r#"{{"offset":2,"batch":[{{"offset":2,"topology":{{"endpoints":[{removed}]}}}}]}}"#);
+    harness.publish(&batch, 1).advance(500.0).take_trace();
+    let line = handover_line(0x01, "b");
+    harness.viewer_sends(1, &line).expect_trace(expect![[r#"
+        viewer 1 < {"verb":"FINISH","tag":"01","opts":{},"rc":41}
+    "#]]);
+}
--- a/crates/platform/src/upstream.rs
+++ b/crates/platform/src/upstream.rs
@@ -19,7 +19,7 @@
 use crate::bus::DiscoveryUpdate;
 use crate::causes;
 use crate::early_ends::EarlyEnd;
-use crate::gateway::{Action, Attempt, CloseReason, Gateway, UpstreamId};
+use crate::gateway::{Action, Attempt, CloseReason, Gateway, HANDOVER_PERIOD_SECONDS, UpstreamId};
 use crate::message::{self, Message, Tag, Verb, parse_finite};
 
 /// Time without a message after which a node with playing sessions is checked. With the timeouts below, the
@@ -940,7 +940,10 @@
                 self.upstreams.get(upstream).is_some_and(|connection| !connection.pending.is_empty())
             };
             let unlisted = !node_state.listed && node_state.queued_lines.is_empty();
-            if (node_state.removed || unlisted)
+            // A session that is handed over may name a node that was removed before.
+            let removed =
+                node_state.removed && now - self.created_at > Span::from_secs(HANDOVER_PERIOD_SECONDS);
+            if (removed || unlisted)
                 && node_state.waiting_setups.is_empty()
                 && !node_state.upstreams.iter().any(has_pending)
             {
