Removed nodes: a release owed there goes to the node that takes the address

Its SETUP was meant for n9-1, whose address n9-2 had taken before discovery told; the outcome was unknown (connection closed as silent), and the release that was owed was dropped with the removal of n9-1.

Cause: lines are queued by node and cleared when it is removed (upstream.rs, node_removed). The new test has the release on the new node's connection; before, there was none.

--- a/crates/platform/src/gateway.rs
+++ b/crates/platform/src/gateway.rs
@@ -26,6 +26,7 @@
 use crate::config::Config;
 use crate::early_ends::{EarlyEnd, EarlyEnds};
 use crate::message::{self, Message, Tag, Verb};
+use crate::orphaned_releases::OrphanedReleases;
 use crate::resource_limits::ResourceLimits;
 use crate::setup_request::{self, SetupRequest};
 use crate::upstream::{NodeState, UpstreamConnection};
@@ -286,6 +287,7 @@
     next_check_at: Instant,
     pub(crate) created_at: Instant,
     early_ends: EarlyEnds,
+    pub(crate) orphaned_releases: OrphanedReleases,
     shutdown: Option<Shutdown>,
     /// When connections are closed next during a shutdown.
     next_shutdown_check_at: Instant,
@@ -330,6 +332,7 @@
             next_check_at: now,
             created_at: now,
             early_ends: EarlyEnds::default(),
+            orphaned_releases: OrphanedReleases::default(),
             shutdown: None,
             next_shutdown_check_at: now,
             shutdown_finished: false,
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod gateway;
 pub mod line_decoder;
 pub mod message;
+mod orphaned_releases;
 mod resource_limits;
 pub mod setup_request;
 mod upstream;
--- a/crates/platform/src/session_end_tests.rs
+++ b/crates/platform/src/session_end_tests.rs
@@ -76,6 +76,44 @@
     "#]]);
 }
 
+/// Guards against a session that is left at a node which has taken the address of another: the SETUP was meant
+/// for the other one, and its outcome is unknown when the removal is reported.
+#[test]
+fn a_release_owed_at_a_removed_node_goes_to_the_node_that_has_taken_its_address() {
+    let mut harness = Harness::started();
+    harness
+        .node_connected("a0")
+        .viewer_connects(1)
+        .request_session(1, 0x01)
+        .node_connected("c1")
+        .take_trace();
+    let endpoint = |name: &str, status: &str| {
+        format!(
+            r#"{{"name":"{name}","address":"10.0.0.3:80","zone":"east","type":"std","group":2,"status":"{status}","weight":4}}"#
+        )
+    };
+    let publish = |harness: &mut Harness, offset: u64, endpoint: String| {
+        let batch = format!(
+            r#"{{"offset":{offset},"batch":[{{"offset":{offset},"topology":{{"endpoints":[{endpoint}]}}}}]}}"#
+        );
+        harness.publish(&batch, offset - 1).take_trace()
+    };
+    let trace = publish(&mut harness, 2, endpoint("c", "removed"));
+    expect![[r#"
+        close c1
+        connect b2
+    "#]]
+    .assert_eq(&trace);
+    let trace = publish(&mut harness, 3, endpoint("d", "up"));
+    expect![[r#"
+        connect c3
+    "#]]
+    .assert_eq(&trace);
+    harness.node_connected("c3").expect_trace(expect![[r#"
+        node c3 < {"verb":"FINISH","tag":"01","opts":{},"rc":16}
+    "#]]);
+}
+
 /// Guards against a session that stands for its viewer for two seconds more, which a series of shutdowns repeats
 /// without end, because its node was removed before it was handed over.
 #[test]
--- a/crates/platform/src/upstream.rs
+++ b/crates/platform/src/upstream.rs
@@ -141,12 +141,13 @@
             let node_state = self.nodes.entry(endpoint.node).or_insert_with(|| NodeState::new(name, now));
             node_state.listed = true;
             node_state.removed = endpoint.removed;
-            let had_no_address = node_state.address.is_none();
+            let known_address = node_state.address;
+            let had_no_address = known_address.is_none();
             node_state.address = endpoint.address.or(node_state.address).filter(|_| !endpoint.removed);
             let needs_connection =
                 had_no_address && node_state.address.is_some() && !node_state.playing.is_empty();
             if endpoint.removed {
-                self.node_removed(now, endpoint.node);
+                self.node_removed(now, endpoint.node, known_address);
             }
             if let Some(started) = endpoint.info.started {
                 self.node_started(now, endpoint.node, started);
@@ -154,23 +155,24 @@
             if needs_connection {
                 self.connect(now, endpoint.node);
             }
+            self.adopt_orphaned_releases(now, endpoint.node);
         }
         for node in unnamed {
             nodes.push(NodeUpdate { node, status: NodeStatus::Gone });
             if let Some(node_state) = self.nodes.get_mut(&node) {
+                let address = node_state.address;
                 (node_state.listed, node_state.removed, node_state.address) = (true, true, None);
-                self.node_removed(now, node);
+                self.node_removed(now, node, address);
             }
         }
         self.inputs.push(Input::DiscoveryUpdate { full: update.snapshot, nodes });
     }
 
-    /// Drops the lines that are queued for a removed node, and the connections that may lead to another
-    /// process, which has taken its address. Unless a connection is proven to lead to the removed node, its
-    /// sessions are lost: they are released there too, in case it still runs.
-    fn node_removed(&mut self, now: Instant, node: NodeId) {
+    /// Drops the connections to a removed node that may lead to another process, which has taken its address.
+    /// Unless a connection is proven to lead to the removed node, its sessions are lost: they are released
+    /// there too, in case it still runs. Releases that are queued go to the node that is next at its address.
+    fn node_removed(&mut self, now: Instant, node: NodeId, address: Option<SocketAddr>) {
         let Some(node_state) = self.nodes.get_mut(&node) else { return };
-        node_state.queued_lines.clear();
         let is_proven = |upstream: &&UpstreamId| {
             self.upstreams.get(upstream).is_some_and(|connection| connection.carried_session)
         };
@@ -190,6 +192,32 @@
         for upstream in unproven {
             self.abandon_upstream(now, upstream);
         }
+        let Some(node_state) = self.nodes.get_mut(&node) else { return };
+        let lines = std::mem::take(&mut node_state.queued_lines);
+        let is_release = |line: &Bytes| Message::parse(line).is_ok_and(|m| m.verb == Verb::Finish);
+        let releases = lines.into_iter().filter(|(_, line)| is_release(line));
+        let Some(address) = address else { return };
+        let dropped = self.orphaned_releases.keep(now, address, releases, self.limits.outstanding);
+        if dropped > 0 {
+            warn!(%address, dropped, "too many releases wait for a node at this address; dropped the newest");
+        }
+        let successor = self.nodes.iter().find(|(_, other)| other.address == Some(address));
+        if let Some((&successor, _)) = successor {
+            self.adopt_orphaned_releases(now, successor);
+        }
+    }
+
+    /// Queues the releases that are owed at a node's address.
+    fn adopt_orphaned_releases(&mut self, now: Instant, node: NodeId) {
+        let Some(address) = self.nodes.get(&node).and_then(|node_state| node_state.address) else { return };
+        let lines = self.orphaned_releases.take(now, address);
+        if lines.is_empty() {
+            return;
+        }
+        if let Some(node_state) = self.nodes.get_mut(&node) {
+            node_state.queued_lines.extend(lines);
+        }
+        self.connect(now, node);
     }
 
     /// Ends the sessions and the connections that are older than the start of the node's process: they are
