Start: a director waits while its address is in use, and says so

Cause: one attempt to bind (lib.rs, serve). Ruled out: TIME_WAIT, as the listener is bound with SO_REUSEADDR. Change: EADDRINUSE is tried again each 50 ms for 25 s (30 s are allowed until ready), with one warning; SIGTERM ends the wait with code 0. Any other error still ends the start. Both tests time out on the code before, which exits with 1.

--- a/crates/cli/tests/shutdown.rs
+++ b/crates/cli/tests/shutdown.rs
@@ -2,6 +2,7 @@
 //! longest setup timeout of the settings, counted as 3 s at most, plus 0.7 s after SIGTERM.
 
 use std::io::{BufRead, Write};
+use std::net::TcpListener;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -9,7 +10,7 @@
 
 #[allow(dead_code)]
 mod support;
-use support::{Bus, Program, ScriptedNode, TIMEOUT, Viewer, endpoint_at, setup_line};
+use support::{Bus, Program, ScriptedNode, TIMEOUT, Viewer, config, endpoint_at, free_address, setup_line};
 
 /// The part of the time to the earliest SIGKILL that does not depend on the settings.
 const KILL_DELAY: Duration = Duration::from_millis(700);
@@ -134,3 +135,33 @@
     }
     assert!(failures.is_empty(), "{failures}");
 }
+
+/// Guards against a process that ends by itself at its start, because the one before it still listens.
+#[test]
+fn a_start_waits_while_its_address_is_in_use() {
+    let bus = Arc::new(Bus::default());
+    let (address, _polls) = bus.serve();
+    let (listen, directory) = (free_address(), tempfile::tempdir().unwrap());
+    let occupier = TcpListener::bind(listen).unwrap();
+    let file = directory.path().join("config.json");
+    std::fs::write(&file, config(listen, address, r#"{"offset": 0, "batch": []}"#)).unwrap();
+    let mut program = Program::spawn(directory, file, listen);
+    program.wait_for_log("the address is in use; waiting until it is free");
+    drop(occupier);
+    program.wait_for_log("serving");
+    assert!(Viewer::connect(listen).health_check().contains(r#""rc":1"#));
+}
+
+#[test]
+fn a_start_that_waits_for_its_address_ends_on_sigterm() {
+    let bus = Arc::new(Bus::default());
+    let (address, _polls) = bus.serve();
+    let (listen, directory) = (free_address(), tempfile::tempdir().unwrap());
+    let _occupier = TcpListener::bind(listen).unwrap();
+    let file = directory.path().join("config.json");
+    std::fs::write(&file, config(listen, address, r#"{"offset": 0, "batch": []}"#)).unwrap();
+    let mut program = Program::spawn(directory, file, listen);
+    program.wait_for_log("the address is in use; waiting until it is free");
+    program.signal(Signal::SIGTERM);
+    assert_eq!(program.wait_for_exit().0, Some(0));
+}
--- a/crates/platform-director/src/lib.rs
+++ b/crates/platform-director/src/lib.rs
@@ -9,14 +9,16 @@
 mod listener;
 mod upstream;
 
+use std::io::ErrorKind;
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::time::Duration;
 
 use ashglade_platform::{Config, Event, Gateway};
 use tokio::net::TcpListener;
-use tokio::signal::unix::{SignalKind, signal};
+use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::watch;
-use tokio::time::{Instant, sleep_until};
+use tokio::time::{Instant, sleep, sleep_until};
 use tracing::{error, info, warn};
 
 use crate::event_loop::EventLoop;
@@ -28,13 +30,17 @@
 /// Delay between two such attempts.
 const CONFIG_READ_RETRY_DELAY: Duration = Duration::from_millis(100);
 
+/// Time for which the start waits for an address that is in use, and the delay between two attempts.
+const BIND_TIMEOUT: Duration = Duration::from_secs(25);
+const BIND_RETRY_DELAY: Duration = Duration::from_millis(50);
+
 /// Why the director could not start or had to stop.
 #[derive(Debug, thiserror::Error)]
 pub enum ServeError {
     #[error("{path}: {message}")]
     Config { path: PathBuf, message: String },
     #[error("cannot listen on {address}: {error}")]
-    Listen { address: std::net::SocketAddr, error: std::io::Error },
+    Listen { address: SocketAddr, error: std::io::Error },
     #[error("cannot install a signal handler: {0}")]
     Signals(std::io::Error),
     #[error("the event loop failed: {0}")]
@@ -56,7 +62,7 @@
     let mut terminate = signal(SignalKind::terminate()).map_err(ServeError::Signals)?;
     let mut config = load(path)?;
     let address = config.listen;
-    let listener = TcpListener::bind(address).await.map_err(|error| ServeError::Listen { address, error })?;
+    let Some(listener) = bind(address, &mut terminate).await? else { return Ok(()) };
     info!(name = config.name, %address, bus = %config.bus, sockets = config.limits.sockets, "serving");
 
     let clock = Clock::start();
@@ -118,6 +124,32 @@
     }
 }
 
+/// Listens at the address. While it is in use, as when another process is about to end, tries again until
+/// [`BIND_TIMEOUT`] has passed. Returns `None` if SIGTERM comes first.
+async fn bind(address: SocketAddr, terminate: &mut Signal) -> Result<Option<TcpListener>, ServeError> {
+    let give_up_at = Instant::now() + BIND_TIMEOUT;
+    let mut waits = false;
+    loop {
+        match TcpListener::bind(address).await {
+            Ok(listener) => return Ok(Some(listener)),
+            Err(error) if error.kind() == ErrorKind::AddrInUse && Instant::now() < give_up_at => {
+                if !waits {
+                    warn!(%address, "the address is in use; waiting until it is free");
+                }
+                waits = true;
+            }
+            Err(error) => return Err(ServeError::Listen { address, error }),
+        }
+        tokio::select! {
+            _ = terminate.recv() => {
+                info!("SIGTERM received before listening; shutting down");
+                return Ok(None);
+            }
+            () = sleep(BIND_RETRY_DELAY) => {}
+        }
+    }
+}
+
 /// Returns the time after which a connection to a node has failed, bounded to between 1 ms and 60 s.
 fn connect_timeout(config: &Config) -> Duration {
     Duration::from_secs_f64((config.site.connect_timeout.as_ms() / 1e3).clamp(0.001, 60.0))
