A further SIGTERM no longer ends a stopping director with requests open

It was there because a drain could last for ever; it now ends before the earliest kill. Change: it is logged and nothing else. The test fails before: the process is gone when the request is due.

--- a/crates/cli/tests/shutdown.rs
+++ b/crates/cli/tests/shutdown.rs
@@ -165,3 +165,22 @@
     program.signal(Signal::SIGTERM);
     assert_eq!(program.wait_for_exit().0, Some(0));
 }
+
+/// Guards against requests lost to a second SIGTERM, which ended the process at once.
+#[test]
+fn further_sigterms_do_not_cut_short_the_drain() {
+    let (mut program, mut viewer, node) = start_with_playing_session(900);
+    program.signal(Signal::SIGTERM);
+    program.wait_for_log("SIGTERM received; draining");
+    viewer.send_line(&request_line(2, 900));
+    program.wait_for_log("session created tag=0000000000000002");
+    program.signal(Signal::SIGTERM);
+    program.wait_for_log("another SIGTERM received");
+    // The node hangs, so the request fails when it is due.
+    let answer = viewer.receive();
+    assert!(answer.contains("FINISH") && answer.contains("0000000000000002"), "{answer}");
+    let (code, log) = program.wait_for_exit();
+    assert_eq!(code, Some(0));
+    assert!(log.contains("drain finished"), "{log}");
+    drop(node);
+}
--- a/crates/platform-director/src/lib.rs
+++ b/crates/platform-director/src/lib.rs
@@ -54,8 +54,8 @@
     Config::parse(&text).map_err(config_error)
 }
 
-/// Serves until a drain has finished or a second SIGTERM is received. The first SIGTERM starts the drain;
-/// SIGHUP reloads the configuration.
+/// Serves until a drain has finished. SIGTERM starts the drain, which ends by itself before the process may be
+/// killed; SIGHUP reloads the configuration.
 pub async fn serve(path: &Path) -> Result<(), ServeError> {
     // Handlers are installed first: a signal that arrives during startup must not end the process.
     let mut hangup = signal(SignalKind::hangup()).map_err(ServeError::Signals)?;
@@ -111,8 +111,8 @@
             }
             _ = terminate.recv() => {
                 if draining {
-                    info!("second SIGTERM received; exiting without finishing the drain");
-                    return Ok(());
+                    info!("another SIGTERM received; the drain goes on and ends in time by itself");
+                    continue;
                 }
                 draining = true;
                 info!("SIGTERM received; draining");
