RTSP drain: connections that wait to be accepted and requests received are answered

When an RTSP director got SIGTERM, the listener was dropped with the connections in its accept queue, which are reset though their viewers have sent requests; and with no session left the process ended at once, whatever its connections had received.

Cause: serve.rs, 'drop(listener)' right after the signal, and the return as soon as the engine is empty, which aborts the connections' tasks. Change: the queue is taken, as far as the connection limit allows, before the listener is closed; a drained process waits up to 0.3 s for its connections to end. A second signal still stops it at once, as operators are told.

The settings that two test files of the command line use stand in their support module.

--- a/crates/cli/tests/peer_communication.rs
+++ b/crates/cli/tests/peer_communication.rs
@@ -6,6 +6,9 @@
 use std::path::Path;
 use std::process::{Child, Command, Stdio};
 
+#[allow(dead_code)]
+mod support;
+
 /// Returns the number of UDP sockets that a process has open, according to `/proc`.
 fn udp_socket_count(child: &Child) -> usize {
     let proc = format!("/proc/{}", child.id());
@@ -83,23 +86,7 @@
 
 /// Starts `ashglade serve` with this `talk` block.
 fn start_director(directory: &Path, number: usize, talk: &str) -> RunningProgram {
-    let settings = format!(
-        r#"zone: "a" model {{ name: "m" places: 4 }} rung {{ kb_per_s: 4 utility: 1 }}
-        group {{ name: "clip" start_target_ms: 800 setup_timeout_ms: 3000 utility: 1 care: SAFE }}
-        title {{ name: "t" }} links {{ unit_kb_per_s: 100 cells: 1 racks: 1 }}
-        limits {{ setups_per_session: 2 answer_margin_ms: 100 most_sessions: 10 }}
-        cold {{ from: 0.4 warm_after_ms: 4000 fall_multiple: 3 fall_span_ms: 1000 }}
-        reports {{ probe_timeout_ms: 250 notice_ms: 1000 }} director {{ number: {number} directors: 2 zone: "a" seed: 1 }}
-        front {{ listen: "{}" default_group: "clip" most_connections: 10 session_timeout_s: 60 write_timeout_ms: 5000
-            connect_timeout_ms: 250 answer_timeout_ms: 1000 idle_connections: 1 keep_alive_ms: 2000 drain_ms: 1000
-            list_poll_ms: 1000 }}
-        box_list: "boxes.txtpb" {talk}"#,
-        free_address()
-    );
-    let file = directory.join(format!("headend-{number}.txtpb"));
-    std::fs::write(&file, settings).unwrap();
-    let box_list = "generation: 1 box { name: \"n\" address: \"127.0.0.1:9\" zone: \"a\" model: \"m\" cell: 0 weight: 1 }";
-    std::fs::write(directory.join("boxes.txtpb"), box_list).unwrap();
+    let file = support::write_serve_settings(directory, number, free_address(), talk);
     start(&["serve", "--settings", file.to_str().unwrap()]).unwrap_or_else(|output| panic!("{output}"))
 }
 
--- a/crates/cli/tests/shutdown.rs
+++ b/crates/cli/tests/shutdown.rs
@@ -184,3 +184,21 @@
     assert!(log.contains("drain finished"), "{log}");
     drop(node);
 }
+
+/// Guards against requests that are lost with the connections which wait to be accepted when an RTSP director is
+/// stopped: these were reset, and the process ended before it had answered.
+#[test]
+fn rtsp_requests_that_wait_to_be_accepted_when_the_drain_starts_are_answered() {
+    let mut program = Program::start_rtsp();
+    program.suspend();
+    let mut viewers: Vec<Viewer> = (0..8).map(|_| Viewer::connect(program.listen)).collect();
+    for viewer in &mut viewers {
+        let request = "OPTIONS rtsp://127.0.0.1/t RTSP/1.0\r\nCSeq: 1\r\n\r\n";
+        viewer.reader.get_mut().write_all(request.as_bytes()).unwrap();
+    }
+    program.signal(Signal::SIGTERM);
+    program.resume();
+    let answers: Vec<String> = viewers.iter_mut().map(Viewer::receive).collect();
+    assert!(answers.iter().all(|answer| answer.starts_with("RTSP/1.0")), "{answers:?}");
+    assert_eq!(program.wait_for_exit().0, Some(0));
+}
--- a/crates/cli/tests/support/mod.rs
+++ b/crates/cli/tests/support/mod.rs
@@ -3,7 +3,7 @@
 
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicBool, AtomicU8, Ordering};
 use std::sync::mpsc::{Receiver, Sender, channel};
@@ -259,6 +259,28 @@
     )
 }
 
+/// Writes settings and a node list for `ashglade serve` as director `number` of two, with this `talk` block.
+/// Returns the settings file.
+pub fn write_serve_settings(directory: &Path, number: usize, listen: SocketAddr, talk: &str) -> PathBuf {
+    let settings = format!(
+        r#"zone: "a" model {{ name: "m" places: 4 }} rung {{ kb_per_s: 4 utility: 1 }}
+        group {{ name: "clip" start_target_ms: 800 setup_timeout_ms: 3000 utility: 1 care: SAFE }}
+        title {{ name: "t" }} links {{ unit_kb_per_s: 100 cells: 1 racks: 1 }}
+        limits {{ setups_per_session: 2 answer_margin_ms: 100 most_sessions: 10 }}
+        cold {{ from: 0.4 warm_after_ms: 4000 fall_multiple: 3 fall_span_ms: 1000 }}
+        reports {{ probe_timeout_ms: 250 notice_ms: 1000 }} director {{ number: {number} directors: 2 zone: "a" seed: 1 }}
+        front {{ listen: "{listen}" default_group: "clip" most_connections: 10 session_timeout_s: 60 write_timeout_ms: 5000
+            connect_timeout_ms: 250 answer_timeout_ms: 1000 idle_connections: 1 keep_alive_ms: 2000 drain_ms: 1000
+            list_poll_ms: 1000 }}
+        box_list: "boxes.txtpb" {talk}"#
+    );
+    let file = directory.join(format!("headend-{number}.txtpb"));
+    std::fs::write(&file, settings).unwrap();
+    let box_list = "generation: 1 box { name: \"n\" address: \"127.0.0.1:9\" zone: \"a\" model: \"m\" cell: 0 weight: 1 }";
+    std::fs::write(directory.join("boxes.txtpb"), box_list).unwrap();
+    file
+}
+
 impl Program {
     /// Starts the program and waits until it serves.
     pub fn start(bus: SocketAddr) -> Program {
@@ -277,12 +299,29 @@
 
     /// Starts the program without waiting for it.
     pub fn spawn(directory: tempfile::TempDir, config: PathBuf, listen: SocketAddr) -> Program {
-        let mut child = Command::new(env!("CARGO_BIN_EXE_ashglade"))
-            .args(["--log", "info,ashglade_platform=trace", "platform"])
-            .env("BALANCER_CONFIG", &config)
-            .stderr(Stdio::piped())
-            .spawn()
-            .unwrap();
+        let mut command = Command::new(env!("CARGO_BIN_EXE_ashglade"));
+        command.args(["--log", "info,ashglade_platform=trace", "platform"]).env("BALANCER_CONFIG", &config);
+        Program::spawn_command(command, directory, config, listen)
+    }
+
+    /// Starts `ashglade serve` and waits until it serves.
+    pub fn start_rtsp() -> Program {
+        let (directory, listen) = (tempfile::tempdir().unwrap(), free_address());
+        let settings = write_serve_settings(directory.path(), 0, listen, "");
+        let mut command = Command::new(env!("CARGO_BIN_EXE_ashglade"));
+        command.arg("serve").arg("--settings").arg(&settings);
+        let mut program = Program::spawn_command(command, directory, settings, listen);
+        program.wait_for_log("serving");
+        program
+    }
+
+    fn spawn_command(
+        mut command: Command,
+        directory: tempfile::TempDir,
+        config: PathBuf,
+        listen: SocketAddr,
+    ) -> Program {
+        let mut child = command.stderr(Stdio::piped()).spawn().unwrap();
         let stderr = BufReader::new(child.stderr.take().unwrap());
         let (sender, log) = channel();
         std::thread::spawn(move || {
--- a/crates/director/src/serve.rs
+++ b/crates/director/src/serve.rs
@@ -3,6 +3,7 @@
 use std::path::{Path, PathBuf};
 use std::sync::atomic::AtomicU64;
 use std::sync::{Arc, Mutex};
+use std::time::Duration;
 
 use ashglade::time::Span;
 use ashglade_discovery::NodeList;
@@ -15,9 +16,10 @@
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::{TokioExecutor, TokioTimer};
-use tokio::net::{TcpListener, UdpSocket};
+use tokio::net::{TcpListener, TcpStream, UdpSocket};
 use tokio::signal::unix::{SignalKind, signal};
-use tokio::sync::{Semaphore, mpsc, watch};
+use tokio::sync::{OwnedSemaphorePermit, Semaphore, mpsc, watch};
+use tokio::time::timeout;
 use tracing::{info, warn};
 
 use crate::context::DirectorContext;
@@ -29,6 +31,10 @@
 use crate::{node_requests, rtsp_connection};
 use ashglade_clock::Clock;
 
+/// Time for which a drained director waits for its viewers' connections to end, so that requests that have been
+/// received get their responses.
+const LAST_RESPONSES_TIMEOUT: Duration = Duration::from_millis(300);
+
 /// Options of a director's start.
 #[derive(Clone, Debug, Default)]
 pub struct Options {
@@ -202,13 +208,7 @@
         };
         tokio::select! {
             (accepted, permit) = accept => match (accepted, permit) {
-                (Ok((stream, _)), Ok(permit)) => {
-                    let context = context.clone();
-                    tokio::spawn(async move {
-                        rtsp_connection::run(context, stream).await;
-                        drop(permit);
-                    });
-                }
+                (Ok((stream, _)), Ok(permit)) => spawn_connection(&context, stream, permit),
                 (Err(error), _) => {
                     // For example, the limit on open files is reached. Retries after connections may have
                     // ended.
@@ -221,15 +221,27 @@
             _ = interrupt_signals.recv() => break,
         }
     }
-    drop(listener);
+    if let Err(error) = accept_waiting(listener, &context, &connection_permits) {
+        warn!(%error, "the connections that wait to be accepted are reset");
+    }
     info!("draining: new sessions are rejected");
     context.engine.submit(Input::Drain).await;
     let _ = context.draining.send(true);
-    tokio::select! {
-        _ = drained_receiver.wait_for(|&drained| drained) => {}
-        () = tokio::time::sleep(context.settings.rtsp.drain_timeout) => info!("the drain timeout has passed"),
-        _ = terminate_signals.recv() => info!("second stop signal; stopping at once"),
-        _ = interrupt_signals.recv() => info!("second stop signal; stopping at once"),
+    let stops_at_once = tokio::select! {
+        _ = drained_receiver.wait_for(|&drained| drained) => false,
+        () = tokio::time::sleep(settings.rtsp.drain_timeout) => {
+            info!("the drain timeout has passed");
+            false
+        }
+        _ = terminate_signals.recv() => true,
+        _ = interrupt_signals.recv() => true,
+    };
+    if stops_at_once {
+        info!("second stop signal; stopping at once");
+    } else {
+        // Requests that have been received are answered, which for new sessions is a rejection.
+        let max_connections = settings.rtsp.max_connections as u32;
+        let _ = timeout(LAST_RESPONSES_TIMEOUT, connection_permits.acquire_many(max_connections)).await;
     }
     if let Some((tally, session_count)) = context.engine.tally().await {
         let tally = serde_json::to_string(&tally).unwrap_or_default();
@@ -238,6 +250,36 @@
     Ok(())
 }
 
+/// Serves a viewer's connection in a task of its own, which releases the permit at its end.
+fn spawn_connection(context: &Arc<DirectorContext>, stream: TcpStream, permit: OwnedSemaphorePermit) {
+    let context = context.clone();
+    tokio::spawn(async move {
+        rtsp_connection::run(context, stream).await;
+        drop(permit);
+    });
+}
+
+/// Serves the connections that wait in the accept queue, as far as the connection limit allows, and closes the
+/// listener. Their viewers may have sent requests already, which a reset would leave without a response.
+fn accept_waiting(
+    listener: TcpListener,
+    context: &Arc<DirectorContext>,
+    permits: &Arc<Semaphore>,
+) -> std::io::Result<()> {
+    let listener = listener.into_std()?;
+    while let Ok(permit) = permits.clone().try_acquire_owned() {
+        match listener.accept() {
+            Ok((stream, _)) => {
+                stream.set_nonblocking(true)?;
+                spawn_connection(context, TcpStream::from_std(stream)?, permit);
+            }
+            Err(error) if error.kind() == std::io::ErrorKind::WouldBlock => break,
+            Err(error) => return Err(error),
+        }
+    }
+    Ok(())
+}
+
 /// Returns the HTTP client for HLS requests to nodes.
 fn http_client(settings: &Settings) -> Client<HttpConnector, Empty<Bytes>> {
     let mut connector = HttpConnector::new();
