--- a/crates/platform/src/gateway.rs
+++ b/crates/platform/src/gateway.rs
@@ -8,18 +8,20 @@
 //!   the end (see `upstream`);
 //! - that connections, SETUP requests and sessions of one party don't grow without bound.
 
+mod planned_shutdown;
+
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::fmt;
 use std::net::{IpAddr, SocketAddr};
 
 use ashglade::ids::{NodeId, Rung, SessionId, SetupNumber};
 use ashglade::interface::AttemptOutcome;
-use ashglade::shutdown::{ConnectionUse, RemainingWork, Shutdown};
+use ashglade::shutdown::{ConnectionUse, Shutdown};
 use ashglade::time::{Instant, Span};
 use ashglade_engine::{Effect, Engine, EngineConfig, Input, SessionResponse, Tally};
 use ashglade_site::DirectorSettings;
 use bytes::Bytes;
-use tracing::{debug, info, trace, warn};
+use tracing::{debug, trace, warn};
 
 use crate::bus::{DiscoveryUpdate, node_id};
 use crate::causes;
@@ -31,6 +33,8 @@
 use crate::setup_request::{self, SetupRequest};
 use crate::upstream::{NodeState, UpstreamConnection};
 
+pub use planned_shutdown::OpenWork;
+
 /// Identifies a viewer's connection. Assigned by the caller.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct DownstreamId(pub u64);
@@ -145,8 +149,6 @@
 const RESERVED_DESCRIPTORS: usize = 14;
 /// Time after the start of a process within which sessions are handed over to it.
 pub(crate) const HANDOVER_PERIOD_SECONDS: f64 = 30.0;
-/// Interval at which connections are closed during a shutdown.
-const SHUTDOWN_CHECK_INTERVAL_SECONDS: f64 = 0.02;
 
 /// An outstanding SETUP of a session at one node.
 pub(crate) struct Attempt {
@@ -231,33 +233,6 @@
     line: Bytes,
 }
 
-/// Numbers of what a director still has to do or holds open. Logged while it drains.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct OpenWork {
-    /// Requests without an answer.
-    pub unanswered: usize,
-    /// Sessions that play.
-    pub playing: usize,
-    pub viewer_connections: usize,
-    pub node_connections: usize,
-    /// Releases whose client has no connection.
-    pub release_notices: usize,
-}
-
-impl fmt::Display for OpenWork {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(
-            f,
-            "unanswered={} playing={} viewer_connections={} node_connections={} release_notices={}",
-            self.unanswered,
-            self.playing,
-            self.viewer_connections,
-            self.node_connections,
-            self.release_notices
-        )
-    }
-}
-
 /// Connects viewers' connections, the engine and nodes' connections. See the [module documentation](self).
 pub struct Gateway {
     pub(crate) site: DirectorSettings,
@@ -356,16 +331,6 @@
         self.descriptor_limits
     }
 
-    /// Returns whether a planned shutdown has come to its end.
-    pub fn is_shutdown_finished(&self) -> bool {
-        self.shutdown_finished
-    }
-
-    /// Returns the planned shutdown that is in progress.
-    pub fn shutdown(&self) -> Option<&Shutdown> {
-        self.shutdown.as_ref()
-    }
-
     /// Returns the numbers of sessions, of viewers' connections, of nodes, and of connections to nodes.
     pub fn sizes(&self) -> [usize; 4] {
         [self.sessions.len(), self.downstreams.len(), self.nodes.len(), self.upstreams.len()]
@@ -456,65 +421,6 @@
         }
     }
 
-    fn start_shutdown(&mut self, now: Instant) {
-        if self.shutdown.is_some() {
-            return;
-        }
-        let timeouts = &self.site.setup_timeouts;
-        // A service group without a setup timeout may have any.
-        let longest = timeouts.iter().copied().collect::<Option<Vec<Span>>>();
-        let shutdown = Shutdown::start(now, longest.and_then(|timeouts| timeouts.into_iter().max()));
-        info!(
-            exit_due_ms = (shutdown.exit_due() - now).as_ms(),
-            answers_due_ms = (shutdown.answers_due() - now).as_ms(),
-            open = %self.open_work(),
-            "drain started"
-        );
-        self.inputs.push(Input::AnswerBy { deadline: shutdown.answers_due() });
-        self.shutdown = Some(shutdown);
-    }
-
-    /// Closes connections and ends listening, as far as the shutdown has come.
-    fn advance_shutdown(&mut self, now: Instant) {
-        let Some(shutdown) = self.shutdown else { return };
-        if now >= self.next_shutdown_check_at {
-            self.next_shutdown_check_at = now + Span::from_secs(SHUTDOWN_CHECK_INTERVAL_SECONDS);
-            let closes = |c: &DownstreamConnection| shutdown.closes(now, c.usage());
-            let closed: Vec<DownstreamId> =
-                self.downstreams.iter().filter(|(_, c)| closes(c)).map(|(&id, _)| id).collect();
-            closed.into_iter().for_each(|downstream| self.close_downstream_if_idle(downstream));
-        }
-        let work = RemainingWork {
-            viewer_connections: self.downstreams.len(),
-            open_requests: self.setup_queue.len()
-                + self.sessions.values().filter(|s| !s.answered || s.attempt.is_some()).count(),
-            lines_for_nodes: !self.no_lines_queued_for_nodes(),
-        };
-        let Some(shutdown) = &mut self.shutdown else { return };
-        if shutdown.stops_listening(now, work) {
-            info!(open = %self.open_work(), "no longer listening");
-            self.actions.push(Action::StopListening);
-        }
-        self.shutdown_finished = self.shutdown.is_some_and(|shutdown| shutdown.is_finished(now, work));
-    }
-
-    /// Returns the time since the shutdown began, in milliseconds, for logs.
-    fn draining_ms(&self, now: Instant) -> Option<f64> {
-        self.shutdown.map(|shutdown| (now - shutdown.started_at()).as_ms())
-    }
-
-    /// Returns what is open at present, for logs.
-    pub fn open_work(&self) -> OpenWork {
-        OpenWork {
-            unanswered: self.sessions.values().filter(|state| !state.answered).count()
-                + self.setup_queue.len(),
-            playing: self.sessions.values().filter(|state| state.playing_at.is_some()).count(),
-            viewer_connections: self.downstreams.len(),
-            node_connections: self.upstreams.len(),
-            release_notices: self.release_notices.iter().filter(|n| n.downstream.is_none()).count(),
-        }
-    }
-
     fn apply_effect(&mut self, now: Instant, effect: Effect) {
         match effect {
             Effect::SendSetup { session, setup, node, rung, deadline: until } => {
--- a/crates/platform/src/upstream.rs
+++ b/crates/platform/src/upstream.rs
@@ -6,20 +6,22 @@
 //! and accepts no connection is gone, and a node that according to the node list has started since has lost
 //! its earlier sessions.
 
+mod checks;
+mod discovery;
+
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::SocketAddr;
 
 use ashglade::ids::{NodeId, Rung, SessionId, SetupNumber};
 use ashglade::interface::{AttemptOutcome, LoadMetric};
 use ashglade::time::{Instant, Span};
-use ashglade_engine::{Input, LoadReport, NodeStatus, NodeUpdate};
+use ashglade_engine::{Input, LoadReport};
 use bytes::Bytes;
 use tracing::{debug, trace, warn};
 
-use crate::bus::DiscoveryUpdate;
 use crate::causes;
 use crate::early_ends::EarlyEnd;
-use crate::gateway::{Action, Attempt, CloseReason, Gateway, HANDOVER_PERIOD_SECONDS, UpstreamId};
+use crate::gateway::{Action, Attempt, CloseReason, Gateway, UpstreamId};
 use crate::message::{self, Message, Tag, Verb, parse_finite};
 
 /// Time without a message after which a node with playing sessions is checked. With the timeouts below, the
@@ -122,129 +124,6 @@
 impl Gateway {
     // Events
 
-    /// Updates the nodes, and passes their status on to the engine.
-    pub(crate) fn apply_discovery_update(&mut self, now: Instant, update: DiscoveryUpdate) {
-        let mut unnamed: BTreeSet<NodeId> = BTreeSet::new();
-        if update.snapshot {
-            unnamed.extend(self.nodes.keys());
-        }
-        let mut nodes = Vec::with_capacity(update.nodes.len());
-        for endpoint in update.nodes {
-            unnamed.remove(&endpoint.node);
-            let status = match (endpoint.ready, endpoint.removed) {
-                (true, _) => NodeStatus::Ready(endpoint.info),
-                (_, true) => NodeStatus::Gone,
-                _ => NodeStatus::Draining,
-            };
-            nodes.push(NodeUpdate { node: endpoint.node, status });
-            let name = endpoint.name;
-            let node_state = self.nodes.entry(endpoint.node).or_insert_with(|| NodeState::new(name, now));
-            node_state.listed = true;
-            node_state.removed = endpoint.removed;
-            let known_address = node_state.address;
-            let had_no_address = known_address.is_none();
-            node_state.address = endpoint.address.or(node_state.address).filter(|_| !endpoint.removed);
-            let needs_connection =
-                had_no_address && node_state.address.is_some() && !node_state.playing.is_empty();
-            if endpoint.removed {
-                self.node_removed(now, endpoint.node, known_address);
-            }
-            if let Some(started) = endpoint.info.started {
-                self.node_started(now, endpoint.node, started);
-            }
-            if needs_connection {
-                self.connect(now, endpoint.node);
-            }
-            self.adopt_orphaned_releases(now, endpoint.node);
-        }
-        for node in unnamed {
-            nodes.push(NodeUpdate { node, status: NodeStatus::Gone });
-            if let Some(node_state) = self.nodes.get_mut(&node) {
-                let address = node_state.address;
-                (node_state.listed, node_state.removed, node_state.address) = (true, true, None);
-                self.node_removed(now, node, address);
-            }
-        }
-        self.inputs.push(Input::DiscoveryUpdate { full: update.snapshot, nodes });
-    }
-
-    /// Drops the connections to a removed node that may lead to another process, which has taken its address.
-    /// Unless a connection is proven to lead to the removed node, its sessions are lost: they are released
-    /// there too, in case it still runs. Releases that are queued go to the node that is next at its address.
-    fn node_removed(&mut self, now: Instant, node: NodeId, address: Option<SocketAddr>) {
-        let Some(node_state) = self.nodes.get_mut(&node) else { return };
-        let is_proven = |upstream: &&UpstreamId| {
-            self.upstreams.get(upstream).is_some_and(|connection| connection.carried_session)
-        };
-        let upstreams = &node_state.upstreams;
-        let unproven: Vec<UpstreamId> = upstreams.iter().filter(|id| !is_proven(id)).copied().collect();
-        if unproven.len() == upstreams.len() {
-            let connected =
-                unproven.iter().copied().find(|id| self.upstreams.get(id).is_some_and(|c| c.connected));
-            let tags = node_state.playing.iter().filter_map(|id| Some(self.sessions.get(id)?.tag));
-            let releases: Vec<Bytes> = tags.filter_map(encode_release).collect();
-            for (upstream, line) in connected.into_iter().flat_map(|id| releases.iter().map(move |l| (id, l)))
-            {
-                self.actions.push(Action::SendUpstream(upstream, line.clone()));
-            }
-            self.end_lost_sessions(now, node, now);
-        }
-        for upstream in unproven {
-            self.abandon_upstream(now, upstream);
-        }
-        let Some(node_state) = self.nodes.get_mut(&node) else { return };
-        let lines = std::mem::take(&mut node_state.queued_lines);
-        let is_release = |line: &Bytes| Message::parse(line).is_ok_and(|m| m.verb == Verb::Finish);
-        let releases = lines.into_iter().filter(|(_, line)| is_release(line));
-        let Some(address) = address else { return };
-        let dropped = self.orphaned_releases.keep(now, address, releases, self.limits.outstanding);
-        if dropped > 0 {
-            warn!(%address, dropped, "too many releases wait for a node at this address; dropped the newest");
-        }
-        let successor = self.nodes.iter().find(|(_, other)| other.address == Some(address));
-        if let Some((&successor, _)) = successor {
-            self.adopt_orphaned_releases(now, successor);
-        }
-    }
-
-    /// Queues the releases that are owed at a node's address.
-    fn adopt_orphaned_releases(&mut self, now: Instant, node: NodeId) {
-        let Some(address) = self.nodes.get(&node).and_then(|node_state| node_state.address) else { return };
-        let lines = self.orphaned_releases.take(now, address);
-        if lines.is_empty() {
-            return;
-        }
-        if let Some(node_state) = self.nodes.get_mut(&node) {
-            node_state.queued_lines.extend(lines);
-        }
-        self.connect(now, node);
-    }
-
-    /// Ends the sessions and the connections that are older than the start of the node's process: they are
-    /// lost.
-    fn node_started(&mut self, now: Instant, node: NodeId, started: Instant) {
-        let Some(node_state) = self.nodes.get(&node) else { return };
-        let predates_start =
-            |upstream: &UpstreamId| self.upstreams.get(upstream).is_some_and(|c| c.created_at < started);
-        let stale: Vec<UpstreamId> = node_state.upstreams.iter().copied().filter(predates_start).collect();
-        let played_before = |session: &SessionId| {
-            self.sessions.get(session).and_then(|state| state.playing_at).is_some_and(|at| at.1 < started)
-        };
-        let lost: Vec<SessionId> = node_state.playing.iter().copied().filter(played_before).collect();
-        for session in lost {
-            self.end_session(now, session, AttemptOutcome::Lost, true);
-        }
-        for upstream in stale {
-            self.abandon_upstream(now, upstream);
-        }
-    }
-
-    /// Adds a node at which a handed-over session plays, if it is unknown. The node list may name it a moment
-    /// later.
-    pub(crate) fn ensure_node(&mut self, now: Instant, node: NodeId, name: &str) {
-        self.nodes.entry(node).or_insert_with(|| NodeState::new(name.to_string(), now));
-    }
-
     /// Handles an established connection: sends everything that waits for one.
     pub(crate) fn upstream_connected(&mut self, now: Instant, upstream: UpstreamId) {
         let Some(connection) = self.upstreams.get_mut(&upstream) else { return };
@@ -934,90 +813,6 @@
             self.connect(now, node);
         }
     }
-
-    pub(crate) fn check_nodes(&mut self, now: Instant) {
-        let nodes: Vec<NodeId> = self.nodes.keys().copied().collect();
-        for node in nodes {
-            self.check_node(now, node);
-        }
-    }
-
-    /// Expires queued lines, sends health checks, reconnects, and removes the node when it is gone.
-    fn check_node(&mut self, now: Instant, node: NodeId) {
-        let shutting_down = self.shutdown().is_some();
-        let Some(node_state) = self.nodes.get_mut(&node) else { return };
-        let has_elapsed = |since: Instant, seconds: f64| now - since > Span::from_secs(seconds);
-        if node_state.address.is_none() && node_state.listed {
-            // The node is no longer listed, so no line can reach it. A queued line must not delay the end of
-            // its sessions.
-            node_state.queued_lines.clear();
-        }
-        node_state.queued_lines.retain(|(queued_at, _)| !has_elapsed(*queued_at, QUEUED_LINE_TTL_SECONDS));
-        // A process that ends soon has no time for longer delays.
-        let doublings = if shutting_down { 0 } else { node_state.connect_failures.min(MAX_DELAY_DOUBLINGS) };
-        let reconnect_delay = RECONNECT_INTERVAL_SECONDS * f64::from(1u32 << doublings);
-        if node_state.address.is_some()
-            && node_state.upstreams.is_empty()
-            && !node_state.queued_lines.is_empty()
-            && has_elapsed(node_state.last_connect_at, reconnect_delay)
-        {
-            return self.connect(now, node);
-        }
-        if node_state.playing.is_empty() {
-            let has_pending = |upstream: &UpstreamId| {
-                self.upstreams.get(upstream).is_some_and(|connection| !connection.pending.is_empty())
-            };
-            let unlisted = !node_state.listed && node_state.queued_lines.is_empty();
-            // A session that is handed over may name a node that was removed before.
-            let removed =
-                node_state.removed && now - self.created_at > Span::from_secs(HANDOVER_PERIOD_SECONDS);
-            if (removed || unlisted)
-                && node_state.waiting_setups.is_empty()
-                && !node_state.upstreams.iter().any(has_pending)
-            {
-                let upstreams = node_state.upstreams.clone();
-                upstreams.into_iter().for_each(|upstream| self.abandon_upstream(now, upstream));
-                self.nodes.remove(&node);
-            }
-            return;
-        }
-        let should_be_listed =
-            node_state.listed || has_elapsed(node_state.last_heard_at, UNLISTED_NODE_TIMEOUT_SECONDS);
-        let unreachable = should_be_listed && node_state.upstreams.is_empty() && node_state.address.is_none();
-        if has_elapsed(node_state.last_heard_at, NODE_GONE_TIMEOUT_SECONDS) || unreachable {
-            debug!(
-                name = node_state.name,
-                standing = node_state.playing.len(),
-                "node is gone without notice; its sessions are lost"
-            );
-            let upstreams = node_state.upstreams.clone();
-            self.end_lost_sessions(now, node, now);
-            return upstreams.into_iter().for_each(|upstream| self.abandon_upstream(now, upstream));
-        }
-        let is_connected = |upstream: &&UpstreamId| {
-            self.upstreams.get(upstream).is_some_and(|connection| connection.connected)
-        };
-        let connected = node_state.upstreams.iter().find(is_connected).copied();
-        let connecting = node_state
-            .upstreams
-            .iter()
-            .any(|upstream| self.upstreams.get(upstream).is_some_and(|connection| !connection.connected));
-        match (connected, node_state.health_check_sent_at) {
-            (Some(upstream), None) if has_elapsed(node_state.last_heard_at, QUIET_PERIOD_SECONDS) => {
-                node_state.health_check_sent_at = Some(now);
-                self.send_health_check(upstream, None);
-            }
-            (Some(_), Some(at)) if has_elapsed(at, HEALTH_CHECK_TIMEOUT_SECONDS) && !connecting => {
-                self.connect(now, node)
-            }
-            (None, _)
-                if !connecting && has_elapsed(node_state.last_connect_at, RECONNECT_INTERVAL_SECONDS) =>
-            {
-                self.connect(now, node)
-            }
-            _ => {}
-        }
-    }
 }
 
 /// Encodes the release that cancels a SETUP or ends a playing session normally.
