Planned shutdown: a release that a viewer asked for is sent until the process ends

Cause: since all viewers' connections are closed, no connection to a node is opened (upstream.rs, connect), so that a node's repeated release is left to the next process. A viewer's end that is read after that, with the node's connection lost, queues a release that is never sent, and the next process knows nothing of the session. Change: such a release may open a connection until the process ends; releases of cancelled SETUPs may not, as a node gives these up with their connection. The test failed before (no connection).

--- a/crates/platform/src/shutdown_tests.rs
+++ b/crates/platform/src/shutdown_tests.rs
@@ -97,3 +97,19 @@
     "#]]);
     assert!(harness.gateway_is_finished());
 }
+
+/// Guards against a session that is left at its node: its viewer ends it in the last moments of a director whose
+/// connection to that node has just been lost.
+#[test]
+fn a_release_that_is_owed_is_sent_until_the_end() {
+    let mut harness = Harness::started();
+    harness.node_connected("a0").process([Event::DrainStarted]).advance(3340.0);
+    harness.node_disconnected("a0", crate::CloseReason::Lost).viewer_connects(2).take_trace();
+    harness.viewer_sends(2, r#"{"verb":"FINISH","tag":"00000000000000a0","opts":{},"rc":16}"#);
+    harness.expect_trace(expect![[r#"
+        connect a1
+    "#]]);
+    harness.advance(20.0).node_connected("a1").expect_trace(expect![[r#"
+        node a1 < {"verb":"FINISH","tag":"a0","opts":{},"rc":16}
+    "#]]);
+}
--- a/crates/platform/src/upstream.rs
+++ b/crates/platform/src/upstream.rs
@@ -64,6 +64,8 @@
     waiting_probes: Vec<u64>,
     /// Releases and rung changes, which any connection may carry, with the time at which each was queued.
     queued_lines: VecDeque<(Instant, Bytes)>,
+    /// The release of a session that its viewer has ended is among the queued lines.
+    owes_release: bool,
     /// Sessions that play at the node.
     pub playing: BTreeSet<SessionId>,
     last_heard_at: Instant,
@@ -91,6 +93,7 @@
             waiting_setups: VecDeque::new(),
             waiting_probes: Vec::new(),
             queued_lines: VecDeque::new(),
+            owes_release: false,
             playing: BTreeSet::new(),
             last_heard_at: now,
             health_check_sent_at: None,
@@ -137,6 +140,7 @@
         connection.resumes =
             node_state.connection_lost_at.take().is_some_and(|at| now - at <= self.site.connect_timeout);
         let queued_lines = std::mem::take(&mut node_state.queued_lines);
+        node_state.owes_release = false;
         let (setups, probes) =
             (std::mem::take(&mut node_state.waiting_setups), std::mem::take(&mut node_state.waiting_probes));
         // A connection that failed its health check is replaced by the new one.
@@ -588,6 +592,10 @@
         {
             debug!(%tag, "releasing the session at its node");
             self.clear_playing(session);
+            let is_connected = self.connected_upstream(node).is_some();
+            if let Some(node_state) = self.nodes.get_mut(&node).filter(|_| !is_connected) {
+                node_state.owes_release = true;
+            }
             self.send_to_node(now, node, Verb::Finish, tag, &[], Some(causes::NORMAL_RELEASE));
         }
         self.remove_if_finished(session);
@@ -651,8 +659,10 @@
     /// Starts to connect to the node, unless it has no address, or the limits on connections don't allow it.
     fn connect(&mut self, now: Instant, node: NodeId) {
         // A node repeats the release of a session on the next connection only. Once this process has no
-        // connection to a viewer any more, that one is to be the next process's.
-        if self.shutdown().is_some_and(|shutdown| !shutdown.attends_sessions(now)) {
+        // connection to a viewer any more, that one is to be the next process's, which in turn knows nothing of
+        // a release that is owed.
+        let owes_release = self.nodes.get(&node).is_some_and(|node_state| node_state.owes_release);
+        if !owes_release && self.shutdown().is_some_and(|shutdown| !shutdown.attends_sessions(now)) {
             return;
         }
         let Some(node_state) = self.nodes.get_mut(&node) else { return };
@@ -789,6 +799,14 @@
         }
     }
 
+    /// Returns the newest established connection to the node.
+    fn connected_upstream(&self, node: NodeId) -> Option<UpstreamId> {
+        let is_connected = |upstream: &&UpstreamId| {
+            self.upstreams.get(upstream).is_some_and(|connection| connection.connected)
+        };
+        self.nodes.get(&node)?.upstreams.iter().rev().find(is_connected).copied()
+    }
+
     /// Sends a message on any connection to the node, or queues it and connects if there is none.
     fn send_to_node(
         &mut self,
@@ -800,13 +818,10 @@
         cause: Option<u16>,
     ) {
         let Some(line) = message::encode(verb, tag, opts, cause, None) else { return };
-        let Some(node_state) = self.nodes.get_mut(&node) else { return };
-        let is_connected = |upstream: &&UpstreamId| {
-            self.upstreams.get(upstream).is_some_and(|connection| connection.connected)
-        };
-        if let Some(&upstream) = node_state.upstreams.iter().rev().find(is_connected) {
+        if let Some(upstream) = self.connected_upstream(node) {
             return self.send_line(now, upstream, line);
         }
+        let Some(node_state) = self.nodes.get(&node) else { return };
         let has_no_connection = node_state.upstreams.is_empty();
         self.queue_line(now, node, line);
         if has_no_connection {
--- a/crates/platform/src/upstream/discovery.rs
+++ b/crates/platform/src/upstream/discovery.rs
@@ -84,10 +84,7 @@
     /// Ends all sessions of a node as lost, and releases them on a connection, if there is one.
     fn release_lost_sessions(&mut self, now: Instant, node: NodeId) {
         let Some(node_state) = self.nodes.get(&node) else { return };
-        let is_connected = |upstream: &&UpstreamId| {
-            self.upstreams.get(upstream).is_some_and(|connection| connection.connected)
-        };
-        if let Some(&upstream) = node_state.upstreams.iter().find(is_connected) {
+        if let Some(upstream) = self.connected_upstream(node) {
             let tags = node_state.playing.iter().filter_map(|id| Some(self.sessions.get(id)?.tag));
             let releases = tags.filter_map(encode_release);
             self.actions.extend(releases.map(|line| Action::SendUpstream(upstream, line)));
