--- a/crates/platform/src/upstream.rs
+++ b/crates/platform/src/upstream.rs
@@ -64,7 +64,8 @@
     waiting_probes: Vec<u64>,
     /// Releases and rung changes, which any connection may carry, with the time at which each was queued.
     queued_lines: VecDeque<(Instant, Bytes)>,
-    /// The release of a session that its viewer has ended is among the queued lines.
+    /// A release is among the queued lines whose session was ended after all viewers' connections were closed
+    /// for a planned shutdown.
     owes_release: bool,
     /// Sessions that play at the node.
     pub playing: BTreeSet<SessionId>,
@@ -592,9 +593,10 @@
         {
             debug!(%tag, "releasing the session at its node");
             self.clear_playing(session);
+            let in_last_moments = self.shutdown().is_some_and(|shutdown| !shutdown.attends_sessions(now));
             let is_connected = self.connected_upstream(node).is_some();
-            if let Some(node_state) = self.nodes.get_mut(&node).filter(|_| !is_connected) {
-                node_state.owes_release = true;
+            if let Some(node_state) = self.nodes.get_mut(&node) {
+                node_state.owes_release |= in_last_moments && !is_connected;
             }
             self.send_to_node(now, node, Verb::Finish, tag, &[], Some(causes::NORMAL_RELEASE));
         }
@@ -659,8 +661,8 @@
     /// Starts to connect to the node, unless it has no address, or the limits on connections don't allow it.
     fn connect(&mut self, now: Instant, node: NodeId) {
         // A node repeats the release of a session on the next connection only. Once this process has no
-        // connection to a viewer any more, that one is to be the next process's, which in turn knows nothing of
-        // a release that is owed.
+        // connection to a viewer any more, that one is to be the next process's. Only a session that ends after
+        // that is worth a connection: the next process would know nothing of its release.
         let owes_release = self.nodes.get(&node).is_some_and(|node_state| node_state.owes_release);
         if !owes_release && self.shutdown().is_some_and(|shutdown| !shutdown.attends_sessions(now)) {
             return;
