Planned shutdown: what can be derived is not kept, and sessions are not counted while listening

Read once more: 'listening' repeats whether listening has an end, 'shutdown_finished' repeats a question that can be asked, and each call of the gateway counted all sessions and looked through all nodes' queues during a shutdown, though that matters only once listening has ended. The two go; what is open is looked at when asked. Names say listening in place of deaf. Behaviour, bounds and traces are as they were; tests/planned_shutdown.rs passes the number of connections where it passed all that is open, with the same assertions.

--- a/crates/platform-director/src/event_loop.rs
+++ b/crates/platform-director/src/event_loop.rs
@@ -180,7 +180,7 @@
             for downstream in closed {
                 self.downstreams.remove(&downstream);
             }
-            if self.gateway.is_shutdown_finished() {
+            if self.gateway.is_shutdown_finished(self.clock.now()) {
                 info!(open = %self.gateway.open_work(), "drain finished; shutting down");
                 return self.shut_down().await;
             }
--- a/crates/platform/src/gateway.rs
+++ b/crates/platform/src/gateway.rs
@@ -266,8 +266,6 @@
     shutdown: Option<Shutdown>,
     /// When connections are closed next during a shutdown.
     next_shutdown_check_at: Instant,
-    /// Whether the process may end.
-    shutdown_finished: bool,
 }
 
 impl Gateway {
@@ -310,7 +308,6 @@
             orphaned_releases: OrphanedReleases::default(),
             shutdown: None,
             next_shutdown_check_at: now,
-            shutdown_finished: false,
             site,
         }
     }
--- a/crates/platform/src/gateway/planned_shutdown.rs
+++ b/crates/platform/src/gateway/planned_shutdown.rs
@@ -41,8 +41,20 @@
 
 impl Gateway {
     /// Returns whether a planned shutdown has come to its end.
-    pub fn is_shutdown_finished(&self) -> bool {
-        self.shutdown_finished
+    pub fn is_shutdown_finished(&self, now: Instant) -> bool {
+        // What is open is looked at only once that can matter.
+        self.shutdown.is_some_and(|shutdown| {
+            shutdown.has_stopped_listening() && shutdown.is_finished(now, self.remaining_work())
+        })
+    }
+
+    fn remaining_work(&self) -> RemainingWork {
+        RemainingWork {
+            viewer_connections: self.downstreams.len(),
+            open_requests: self.setup_queue.len()
+                + self.sessions.values().filter(|s| !s.answered || s.attempt.is_some()).count(),
+            lines_for_nodes: !self.no_lines_queued_for_nodes(),
+        }
     }
 
     /// Returns the planned shutdown that is in progress.
@@ -78,18 +90,11 @@
                 self.downstreams.iter().filter(|(_, c)| closes(c)).map(|(&id, _)| id).collect();
             closed.into_iter().for_each(|downstream| self.close_downstream_if_idle(downstream));
         }
-        let work = RemainingWork {
-            viewer_connections: self.downstreams.len(),
-            open_requests: self.setup_queue.len()
-                + self.sessions.values().filter(|s| !s.answered || s.attempt.is_some()).count(),
-            lines_for_nodes: !self.no_lines_queued_for_nodes(),
-        };
-        let Some(shutdown) = &mut self.shutdown else { return };
-        if shutdown.stops_listening(now, work) {
+        let viewer_connections = self.downstreams.len();
+        if self.shutdown.as_mut().is_some_and(|shutdown| shutdown.stops_listening(now, viewer_connections)) {
             info!(open = %self.open_work(), "no longer listening");
             self.actions.push(Action::StopListening);
         }
-        self.shutdown_finished = self.shutdown.is_some_and(|shutdown| shutdown.is_finished(now, work));
     }
 
     /// Returns the time since the shutdown began, in milliseconds, for logs.
--- a/crates/platform/src/tests.rs
+++ b/crates/platform/src/tests.rs
@@ -135,7 +135,7 @@
     }
 
     pub fn gateway_is_finished(&self) -> bool {
-        self.gateway.is_shutdown_finished()
+        self.gateway.is_shutdown_finished(self.now)
     }
 
     fn upstream(&self, name: &str) -> UpstreamId {
--- a/src/shutdown.rs
+++ b/src/shutdown.rs
@@ -62,9 +62,7 @@
     kill_after: Span,
     /// Since when there has been no connection of a viewer.
     unconnected_since: Option<Instant>,
-    listening: bool,
-    /// When listening ended.
-    deaf_since: Option<Instant>,
+    listening_ended_at: Option<Instant>,
 }
 
 impl Shutdown {
@@ -77,8 +75,7 @@
             started_at: now,
             kill_after: counted + Span::from_secs(KILL_DELAY_SECONDS),
             unconnected_since: None,
-            listening: true,
-            deaf_since: None,
+            listening_ended_at: None,
         }
     }
 
@@ -97,13 +94,13 @@
     }
 
     /// Returns when listening ends at the latest.
-    fn deaf_due(&self) -> Instant {
+    fn listening_ends_due(&self) -> Instant {
         self.exit_due() - Span::from_secs(LAST_ANSWERS_SECONDS)
     }
 
     /// Returns when all viewers' connections are closed, with or without an open request.
     fn close_due(&self) -> Instant {
-        self.deaf_due() - Span::from_secs(RESEND_SECONDS)
+        self.listening_ends_due() - Span::from_secs(RESEND_SECONDS)
     }
 
     /// Returns when every request must have its answer.
@@ -142,27 +139,32 @@
         }
     }
 
-    /// Takes what is left to do, and returns whether listening ends now. Returns true once.
-    pub fn stops_listening(&mut self, now: Instant, work: RemainingWork) -> bool {
-        if work.viewer_connections > 0 || now < self.close_unused_from() {
+    /// Takes the number of viewers' connections, and returns whether listening ends now. Returns true once.
+    pub fn stops_listening(&mut self, now: Instant, viewer_connections: usize) -> bool {
+        if viewer_connections > 0 || now < self.close_unused_from() {
             self.unconnected_since = None;
         } else {
             self.unconnected_since = self.unconnected_since.or(Some(now));
         }
         let unconnected =
             self.unconnected_since.is_some_and(|since| now - since >= Span::from_secs(RESEND_SECONDS));
-        if !self.listening || !(unconnected || now >= self.deaf_due()) {
+        if self.listening_ended_at.is_some() || !(unconnected || now >= self.listening_ends_due()) {
             return false;
         }
-        (self.listening, self.deaf_since) = (false, Some(now));
+        self.listening_ended_at = Some(now);
         true
     }
 
-    /// Returns whether the process ends.
+    /// Returns whether listening has ended. The process does not end before.
+    pub fn has_stopped_listening(&self) -> bool {
+        self.listening_ended_at.is_some()
+    }
+
+    /// Returns whether the process ends, once listening has ended.
     pub fn is_finished(&self, now: Instant, work: RemainingWork) -> bool {
         let nothing_left = work.viewer_connections == 0 && work.open_requests == 0 && !work.lines_for_nodes;
         let accepted_all =
-            self.deaf_since.is_some_and(|since| now - since >= Span::from_secs(LAST_ANSWERS_SECONDS));
+            self.listening_ended_at.is_some_and(|at| now - at >= Span::from_secs(LAST_ANSWERS_SECONDS));
         now >= self.exit_due() || accepted_all && nothing_left
     }
 }
--- a/tests/planned_shutdown.rs
+++ b/tests/planned_shutdown.rs
@@ -81,7 +81,7 @@
         let open_requests = connections.iter().filter(|c| c.answer_at.is_some()).count();
         let work =
             RemainingWork { viewer_connections: connections.len(), open_requests, lines_for_nodes: false };
-        if shutdown.stops_listening(now, work) {
+        if shutdown.stops_listening(now, connections.len()) {
             assert!(listening, "listening ends twice");
             listening = false;
         }
@@ -126,14 +126,13 @@
 fn listening_goes_on_for_a_while_after_the_last_connection_has_closed() {
     let mut shutdown = start(Some(3000.0));
     let at = |ms: f64| Instant::from_ms(START_MS + ms);
-    let work =
-        |viewer_connections| RemainingWork { viewer_connections, open_requests: 0, lines_for_nodes: false };
-    assert!(!shutdown.stops_listening(at(800.0), work(1)));
-    assert!(!shutdown.stops_listening(at(900.0), work(0)));
-    assert!(!shutdown.stops_listening(at(960.0), work(1)), "the request that is sent again");
-    assert!(!shutdown.stops_listening(at(1000.0), work(0)));
-    assert!(!shutdown.stops_listening(at(1140.0), work(0)));
-    assert!(shutdown.stops_listening(at(1150.0), work(0)));
-    assert!(!shutdown.is_finished(at(1200.0), work(0)), "what was accepted last is answered");
-    assert!(shutdown.is_finished(at(1250.0), work(0)));
+    let nothing_left = RemainingWork { viewer_connections: 0, open_requests: 0, lines_for_nodes: false };
+    assert!(!shutdown.stops_listening(at(800.0), 1));
+    assert!(!shutdown.stops_listening(at(900.0), 0));
+    assert!(!shutdown.stops_listening(at(960.0), 1), "the request that is sent again");
+    assert!(!shutdown.stops_listening(at(1000.0), 0));
+    assert!(!shutdown.stops_listening(at(1140.0), 0));
+    assert!(shutdown.stops_listening(at(1150.0), 0));
+    assert!(!shutdown.is_finished(at(1200.0), nothing_left), "what was accepted last is answered");
+    assert!(shutdown.is_finished(at(1250.0), nothing_left));
 }
