Removed nodes: all nodes are searched only if a release is owed

Read once more: for each removed node the gateway searched all nodes for one at the same address, also without a release to pass on. Where a zone or half of 3,200 nodes is removed in one update that is millions of steps for nothing. The search is left out then. The check whether a shutdown has closed all viewers' connections stood twice in upstream.rs; one function serves both.

--- a/crates/platform/src/upstream.rs
+++ b/crates/platform/src/upstream.rs
@@ -593,10 +593,10 @@
         {
             debug!(%tag, "releasing the session at its node");
             self.clear_playing(session);
-            let in_last_moments = self.shutdown().is_some_and(|shutdown| !shutdown.attends_sessions(now));
+            let is_left = self.leaves_sessions_to_next_process(now);
             let is_connected = self.connected_upstream(node).is_some();
             if let Some(node_state) = self.nodes.get_mut(&node) {
-                node_state.owes_release |= in_last_moments && !is_connected;
+                node_state.owes_release |= is_left && !is_connected;
             }
             self.send_to_node(now, node, Verb::Finish, tag, &[], Some(causes::NORMAL_RELEASE));
         }
@@ -658,13 +658,18 @@
         None
     }
 
+    /// Returns whether a planned shutdown has closed all viewers' connections.
+    fn leaves_sessions_to_next_process(&self, now: Instant) -> bool {
+        self.shutdown().is_some_and(|shutdown| !shutdown.attends_sessions(now))
+    }
+
     /// Starts to connect to the node, unless it has no address, or the limits on connections don't allow it.
     fn connect(&mut self, now: Instant, node: NodeId) {
         // A node repeats the release of a session on the next connection only. Once this process has no
         // connection to a viewer any more, that one is to be the next process's. Only a session that ends after
         // that is worth a connection: the next process would know nothing of its release.
         let owes_release = self.nodes.get(&node).is_some_and(|node_state| node_state.owes_release);
-        if !owes_release && self.shutdown().is_some_and(|shutdown| !shutdown.attends_sessions(now)) {
+        if self.leaves_sessions_to_next_process(now) && !owes_release {
             return;
         }
         let Some(node_state) = self.nodes.get_mut(&node) else { return };
--- a/crates/platform/src/upstream/discovery.rs
+++ b/crates/platform/src/upstream/discovery.rs
@@ -98,7 +98,12 @@
         let lines = std::mem::take(&mut node_state.queued_lines);
         let Some(address) = address else { return };
         let is_release = |line: &Bytes| Message::parse(line).is_ok_and(|m| m.verb == Verb::Finish);
-        let releases = lines.into_iter().filter(|(_, line)| is_release(line));
+        let releases: Vec<(Instant, Bytes)> =
+            lines.into_iter().filter(|(_, line)| is_release(line)).collect();
+        if releases.is_empty() {
+            // The search below looks at all nodes, and many may be removed at once.
+            return;
+        }
         let dropped = self.orphaned_releases.keep(now, address, releases, self.limits.outstanding);
         if dropped > 0 {
             warn!(%address, dropped, "too many releases wait for a node at this address; dropped the newest");
