--- a/crates/platform/src/session_end_tests.rs
+++ b/crates/platform/src/session_end_tests.rs
@@ -10,6 +10,14 @@
     )
 }
 
+/// Publishes an event with one endpoint.
+fn publish(harness: &mut Harness, offset: u64, endpoint: &str) {
+    let batch = format!(
+        r#"{{"offset":{offset},"batch":[{{"offset":{offset},"topology":{{"endpoints":[{endpoint}]}}}}]}}"#
+    );
+    harness.publish(&batch, offset - 1);
+}
+
 /// Hands over the session `tag`, which plays at the node `a`.
 fn handover(harness: &mut Harness, viewer: u64, tag: u64) -> &mut Harness {
     harness.viewer_sends(viewer, &handover_line(tag, "a"))
@@ -49,8 +57,8 @@
     harness.node_connected("a0").node_disconnected("a0", crate::CloseReason::Lost);
     harness.advance(600.0).node_connected("a1").take_trace();
     let removed = r#"{"name":"a","address":"10.0.0.1:80","zone":"east","type":"std","group":0,"status":"removed","weight":4}"#;
-    let batch = format!(r#"{{"offset":2,"batch":[{{"offset":2,"topology":{{"endpoints":[{removed}]}}}}]}}"#);
-    harness.publish(&batch, 1).advance(500.0).expect_trace(expect![[r#"
+    publish(&mut harness, 2, removed);
+    harness.advance(500.0).expect_trace(expect![[r#"
         node a1 < {"verb":"FINISH","tag":"a0","opts":{},"rc":16}
         viewer 0 < {"verb":"FINISH","tag":"a0","opts":{},"rc":41}
         close a1
@@ -92,23 +100,15 @@
             r#"{{"name":"{name}","address":"10.0.0.3:80","zone":"east","type":"std","group":2,"status":"{status}","weight":4}}"#
         )
     };
-    let publish = |harness: &mut Harness, offset: u64, endpoint: String| {
-        let batch = format!(
-            r#"{{"offset":{offset},"batch":[{{"offset":{offset},"topology":{{"endpoints":[{endpoint}]}}}}]}}"#
-        );
-        harness.publish(&batch, offset - 1).take_trace()
-    };
-    let trace = publish(&mut harness, 2, endpoint("c", "removed"));
-    expect![[r#"
+    publish(&mut harness, 2, &endpoint("c", "removed"));
+    harness.expect_trace(expect![[r#"
         close c1
         connect b2
-    "#]]
-    .assert_eq(&trace);
-    let trace = publish(&mut harness, 3, endpoint("d", "up"));
-    expect![[r#"
+    "#]]);
+    publish(&mut harness, 3, &endpoint("d", "up"));
+    harness.expect_trace(expect![[r#"
         connect c3
-    "#]]
-    .assert_eq(&trace);
+    "#]]);
     harness.node_connected("c3").expect_trace(expect![[r#"
         node c3 < {"verb":"FINISH","tag":"01","opts":{},"rc":16}
     "#]]);
@@ -121,8 +121,8 @@
     let mut harness = Harness::started();
     harness.node_connected("a0").viewer_connects(1);
     let removed = r#"{"name":"b","address":"10.0.0.2:80","zone":"east","type":"std","group":1,"status":"removed","weight":4}"#;
-    let batch = format!(r#"{{"offset":2,"batch":[{{"offset":2,"topology":{{"endpoints":[{removed}]}}}}]}}"#);
-    harness.publish(&batch, 1).advance(500.0).take_trace();
+    publish(&mut harness, 2, removed);
+    harness.advance(500.0).take_trace();
     let line = handover_line(0x01, "b");
     harness.viewer_sends(1, &line).expect_trace(expect![[r#"
         viewer 1 < {"verb":"FINISH","tag":"01","opts":{},"rc":41}
--- a/crates/soak/src/bus.rs
+++ b/crates/soak/src/bus.rs
@@ -24,7 +24,6 @@
 const TOLD_AFTER_RELOAD: f64 = 4.0;
 
 /// One event: its endpoints in JSON, and the node that drains or is removed by it.
-#[derive(Clone)]
 struct Published {
     endpoints: Vec<String>,
     snapshot: bool,
@@ -45,8 +44,8 @@
 struct State {
     events: Vec<Published>,
     outages: Vec<Outage>,
-    /// By director: changes whenever open polls fall silent.
-    silences: Vec<u64>,
+    /// Changes whenever open polls fall silent.
+    silences: u64,
 }
 
 /// The event bus of all directors of a trial.
@@ -78,7 +77,7 @@
 impl Bus {
     pub fn new(directors: usize, record: SharedRecord) -> Bus {
         let outages = vec![Outage::default(); directors];
-        let state = State { events: Vec::new(), outages, silences: vec![0; directors] };
+        let state = State { events: Vec::new(), outages, silences: 0 };
         Bus { state: Arc::new(Mutex::new(state)), published: watch::Sender::new(0), record }
     }
 
@@ -109,13 +108,11 @@
     pub fn start_fault(&self, fault: BusFault) {
         let now = self.record.now();
         let mut state = self.lock();
-        for director in 0..state.outages.len() {
+        state.silences += u64::from(fault == BusFault::Silent);
+        for outage in &mut state.outages {
             match fault {
-                BusFault::Silent => {
-                    state.silences[director] += 1;
-                    state.outages[director].silent_since = Some(now);
-                }
-                BusFault::Down => state.outages[director].down = true,
+                BusFault::Silent => outage.silent_since = Some(now),
+                BusFault::Down => outage.down = true,
             }
         }
         drop(state);
@@ -219,11 +216,11 @@
                 query.split(|c: char| !c.is_ascii_digit()).filter_map(|n| n.parse::<u64>().ok());
             let (from, hold) = (numbers.next()? as usize, Duration::from_millis(numbers.next()?));
             let due = Instant::now() + hold.min(MAX_HOLD);
-            let silence = self.lock().silences[director];
+            let silence = self.lock().silences;
             loop {
                 let (down, silent, has_events) = {
                     let state = self.lock();
-                    let silent = state.silences[director] != silence;
+                    let silent = state.silences != silence;
                     (state.outages[director].down, silent, state.events.len() > from)
                 };
                 if down {
--- a/crates/soak/src/judge.rs
+++ b/crates/soak/src/judge.rs
@@ -202,7 +202,7 @@
     };
     match (request.departed, connection.ended_at) {
         (Some((at, _)), _) if at < waited_until => Unanswered::NotOwed,
-        (_, Some(at)) if !connection.closed_by_viewer => {
+        (_, Some(at)) => {
             let process = process_of(record, request.director, connection.opened_at);
             let killed_at = process.and_then(|p| p.killed_at).filter(|killed| at >= killed - SLACK_SECONDS);
             if killed_at.is_some() {
@@ -240,8 +240,8 @@
         ended_at.is_some_and(|at| at - written_at <= CROSSING_SECONDS)
     };
     if let Some(written_at) = request.ended_by_viewer {
-        let connections = record.connections.values().filter(|c| c.director == request.director);
-        let unread = connections.into_iter().any(|c| {
+        let mut connections = record.connections.values().filter(|c| c.director == request.director);
+        let unread = connections.any(|c| {
             c.opened_at <= written_at && crosses(written_at, c.ended_at.filter(|at| *at >= written_at))
         });
         return (!unread).then_some(written_at);
--- a/crates/soak/src/record.rs
+++ b/crates/soak/src/record.rs
@@ -56,9 +56,8 @@
 pub struct Connection {
     pub director: usize,
     pub opened_at: f64,
-    /// When the viewer read the end of the connection, or closed it.
+    /// When the viewer read the end of the connection.
     pub ended_at: Option<f64>,
-    pub closed_by_viewer: bool,
 }
 
 /// How a SETUP ended at a node.
--- a/crates/soak/src/viewer.rs
+++ b/crates/soak/src/viewer.rs
@@ -174,7 +174,7 @@
         let id = {
             let mut record = self.record.lock();
             let id = record.connections.len() as u64;
-            let connection = Connection { director, opened_at, ended_at: None, closed_by_viewer: false };
+            let connection = Connection { director, opened_at, ended_at: None };
             record.connections.insert(id, connection);
             id
         };
--- a/crates/soak/tests/judge.rs
+++ b/crates/soak/tests/judge.rs
@@ -24,9 +24,7 @@
         max_descriptors: 40,
         panicked: false,
     });
-    record
-        .connections
-        .insert(7, Connection { director: 0, opened_at: 1.0, ended_at: Some(20.8), closed_by_viewer: false });
+    record.connections.insert(7, Connection { director: 0, opened_at: 1.0, ended_at: Some(20.8) });
     let request = Request {
         director: 0,
         retry_safety: RetrySafety::Fragile,
