Handover: ends of unknown sessions beyond the bound are logged once

Read once more: in the first 30 s of a process, each release of an unknown session beyond the bound wrote a warning, so that a client that sends them without end could fill the log. The first one is logged.

--- a/crates/platform/src/early_ends.rs
+++ b/crates/platform/src/early_ends.rs
@@ -31,22 +31,24 @@
 pub(crate) struct EarlyEnds {
     ends: BTreeMap<Tag, EarlyEnd>,
     order: VecDeque<(Instant, Tag)>,
+    /// An end has been dropped.
+    overflowed: bool,
 }
 
 impl EarlyEnds {
-    /// Keeps an end of a session that is unknown. Returns false if `capacity` is reached, so that it is not
-    /// kept.
+    /// Keeps an end of a session that is unknown, unless `capacity` is reached. Returns true if the end is the
+    /// first that is dropped: clients may send any number of them.
     pub fn keep(&mut self, now: Instant, tag: Tag, end: EarlyEnd, capacity: usize) -> bool {
         self.remove_expired(now);
         if self.ends.contains_key(&tag) {
-            return true;
+            return false;
         }
         if self.order.len() >= capacity {
-            return false;
+            return !std::mem::replace(&mut self.overflowed, true);
         }
         self.ends.insert(tag, end);
         self.order.push_back((now, tag));
-        true
+        false
     }
 
     /// Removes and returns the end of a session that is handed over now.
--- a/crates/platform/src/gateway.rs
+++ b/crates/platform/src/gateway.rs
@@ -760,8 +760,8 @@
         if now - self.created_at > Span::from_secs(HANDOVER_PERIOD_SECONDS) {
             return;
         }
-        if !self.early_ends.keep(now, tag, end, self.limits.outstanding) {
-            warn!(%tag, "too many ends of unknown sessions; this one is dropped and does not apply to a handover");
+        if self.early_ends.keep(now, tag, end, self.limits.outstanding) {
+            warn!(%tag, "too many ends of unknown sessions; this and further ones don't apply to handovers");
         }
     }
 
