Soak: the judge looks at the time of requests that were sent again, too

Read once more: an answer to a request that had crossed a close and was sent again was not held to its time. It is now, from the second sending; the new assertion failed before (no rule broken at 11.56).

--- a/crates/soak/src/judge.rs
+++ b/crates/soak/src/judge.rs
@@ -149,7 +149,8 @@
 }
 
 fn judge_request(record: &Record, tag: &str, request: &Request, verdict: &mut Verdict) {
-    let Some(first_sending) = request.sendings.first() else { return };
+    // A request that is sent again is waited for anew.
+    let Some(sending) = request.sendings.last() else { return };
     verdict.sent += 1;
     for (at, answer) in &request.answers {
         if matches!(answer, Answer::Malformed | Answer::Started { genuine: false }) {
@@ -171,14 +172,14 @@
     let started = matches!(answer, Answer::Started { .. });
     verdict.started += usize::from(started);
     verdict.refused += usize::from(!started);
-    let waited = answered_at - first_sending.written_at;
-    if waited > request.timeout + SLACK_SECONDS && request.sendings.len() == 1 {
+    let waited = answered_at - sending.written_at;
+    if waited > request.timeout + SLACK_SECONDS {
         let rule = if waited > request.timeout + LOST_AFTER_SECONDS { Rule::Lost } else { Rule::Late };
         verdict.add(
             rule,
             format!(
                 "{tag} sent {:.3}, answered after {waited:.3} of {:.3}",
-                first_sending.written_at, request.timeout
+                sending.written_at, request.timeout
             ),
         );
     }
--- a/crates/soak/tests/judge.rs
+++ b/crates/soak/tests/judge.rs
@@ -120,6 +120,15 @@
     assert_eq!(answers(vec![finished(10.1), started(10.2)]), [Rule::AnsweredTwice]);
     assert_eq!(answers(vec![started(10.1), started(10.2)]), [Rule::AnsweredTwice]);
     assert_eq!(answers(vec![(10.1, Answer::Started { genuine: false })]), [Rule::FalseAnswer]);
+    let sent_again_and_answered = |answered_at: f64| {
+        broken_by(|record| {
+            request(record).sendings.push(Sending { connection: 7, written_at: 10.5 });
+            request(record).answers = vec![finished(answered_at)];
+            record.node_sessions.clear();
+        })
+    };
+    assert_eq!(sent_again_and_answered(11.54), []);
+    assert_eq!(sent_again_and_answered(11.56), [Rule::Late]);
     let gave_up = |record: &mut Record, at: f64| {
         request(record).answers.clear();
         request(record).departed = Some((at, Departure::Released));
