review: case 1 is now a crowd of bad clients that gets a director killed

Case: six bad clients send 500 requests of 16 KB each at once. The limits on queued requests count entries, 100 for each MB, and not bytes, so the director goes from 0.5 MB to over its limit of 32 MB within 0.1 s, and is killed. Left alone it reaches 50 MB.

The answer that follows its session's release becomes case 2, the lost release case 3.

--- a/review/standin/src/line.rs
+++ b/review/standin/src/line.rs
@@ -40,6 +40,18 @@
     format!(r#"{{"verb":"ECHOED","tag":"{tag}","opts":{{"load":"util:0.1"}},"rc":1}}"#)
 }
 
+/// Whether a media node can use the description of a set-up.
+pub fn is_usable(line: &str) -> bool {
+    text(line, "blob").is_some_and(|description| description.starts_with("v=0"))
+}
+
+/// A request of `length` bytes whose description no media node can use.
+pub fn useless_setup(tag: &str, class: &str, length: usize) -> String {
+    let line = setup(tag, class, 3000, 0, 2);
+    let filler = "x".repeat(length.saturating_sub(line.len()) + 3);
+    line.replacen("v=0", &filler, 1)
+}
+
 /// A viewer's request for a title that the nodes of `copies` cells hold, from cell `home` on.
 pub fn setup(tag: &str, class: &str, left: u32, home: u16, copies: u16) -> String {
     format!(
--- a/review/standin/src/main.rs
+++ b/review/standin/src/main.rs
@@ -17,7 +17,7 @@
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
-use crate::cases::{answer_after_release, release_untold, slow_bus};
+use crate::cases::{answer_after_release, crowd_memory, release_untold};
 use crate::deployment::{Context, sleep};
 use crate::record::Record;
 
@@ -33,8 +33,8 @@
     };
     let mut result = match case {
         "answer-after-release" => answer_after_release::run(&context),
+        "crowd-memory" => crowd_memory::run(&context),
         "release-untold" => release_untold::run(&context),
-        "slow-bus" => slow_bus::run(&context),
         _ => Err(format!("no such case: {case}")),
     };
     if let Err(error) = &mut result {
--- a/review/standin/src/record.rs
+++ b/review/standin/src/record.rs
@@ -7,6 +7,9 @@
 use std::sync::{Arc, Mutex};
 use std::time::Instant;
 
+/// Characters of a message that are kept.
+const LONGEST_ENTRY: usize = 400;
+
 #[derive(Clone)]
 pub struct Record {
     started: Instant,
@@ -23,7 +26,10 @@
         self.started.elapsed().as_secs_f64() * 1e3
     }
 
+    /// Adds a line. Of a long message its beginning is kept.
     pub fn log(&self, who: &str, what: &str) {
+        let end = what.char_indices().nth(LONGEST_ENTRY).map_or(what.len(), |(at, _)| at);
+        let what = &what[..end];
         let mut file = self.file.lock().unwrap();
         let _ = writeln!(file, "{:10.1} {who:<12} {what}", self.now());
     }
--- a/review/standin/src/viewer.rs
+++ b/review/standin/src/viewer.rs
@@ -42,6 +42,13 @@
         let _ = (&self.stream).write_all(format!("{line}\n").as_bytes());
     }
 
+    /// Sends many lines at once.
+    pub fn send_all(&self, lines: &[String]) {
+        self.record.log(&self.name, &format!("> {} lines, the first: {}", lines.len(), lines[0]));
+        let _ = (&self.stream).write_all((lines.join("\n") + "\n").as_bytes());
+        self.record.log(&self.name, "all of them are written");
+    }
+
     /// Waits for a line that fits, and returns it with its time.
     pub fn wait(&self, ms: u64, fits: impl Fn(&str) -> bool) -> Option<(f64, String)> {
         let due = Instant::now() + Duration::from_millis(ms);
