review: case 3 is now a vanished node whose address a new one takes

Case: a machine vanishes with five sessions, a new node takes its address 1 s later, and answers one set-up that was meant for the old one. That answer makes the new connection count as the old node's, so when the list tells of the removal its sessions go on as playing, and their viewers are never told.

--- a/review/standin/src/deployment.rs
+++ b/review/standin/src/deployment.rs
@@ -83,6 +83,7 @@
 /// A director in service, with a bus and nodes, one in each cell from 0 on.
 pub struct Deployment {
     pub director: Director,
+    pub bus: Bus,
     pub nodes: Vec<Node>,
 }
 
@@ -105,7 +106,7 @@
             settings: settings.text(),
         };
         let director = Director::start(&context.run, &context.folder, &config, &context.record)?;
-        Ok(Deployment { director, nodes })
+        Ok(Deployment { director, bus, nodes })
     }
 
     pub fn viewer(&self, context: &Context, number: u8) -> Result<Viewer, String> {
--- a/review/standin/src/main.rs
+++ b/review/standin/src/main.rs
@@ -17,7 +17,7 @@
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
-use crate::cases::{answer_after_release, crowd_memory, release_untold};
+use crate::cases::{address_taken, answer_after_release, crowd_memory};
 use crate::deployment::{Context, sleep};
 use crate::record::Record;
 
@@ -34,7 +34,7 @@
     let mut result = match case {
         "answer-after-release" => answer_after_release::run(&context),
         "crowd-memory" => crowd_memory::run(&context),
-        "release-untold" => release_untold::run(&context),
+        "address-taken" => address_taken::run(&context),
         _ => Err(format!("no such case: {case}")),
     };
     if let Err(error) = &mut result {
--- a/review/standin/src/node.rs
+++ b/review/standin/src/node.rs
@@ -7,7 +7,7 @@
 //! - A release from the director cuts the session, and is confirmed.
 //! - When a connection closes, the set-ups open on it are given up.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::io::{BufRead, BufReader, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::{Arc, Mutex, MutexGuard};
@@ -17,14 +17,15 @@
 use crate::record::Record;
 use crate::sys;
 
+/// Address of the connections that fill the queue of a node that is cut off.
+const FILLER_IP: &str = "127.9.9.9";
+
 /// A connection of the director.
 struct Connection {
     stream: TcpStream,
     /// Lines that the node has written while the network holds them back.
     held: Vec<String>,
     holds: bool,
-    /// Nothing gets through any longer, in either direction, while the connection stays open.
-    dead: bool,
 }
 
 #[derive(Default)]
@@ -37,8 +38,6 @@
     pub standing: BTreeMap<String, (u64, f64)>,
     /// Releases to be repeated on the next connection.
     repeats: Vec<String>,
-    /// Tags whose set-ups the node runs, while the answer never arrives.
-    lose_answer: BTreeSet<String>,
     answer_ms: u64,
 }
 
@@ -48,39 +47,69 @@
     pub address: SocketAddr,
     state: Arc<Mutex<State>>,
     record: Record,
-    listener: Arc<TcpListener>,
+    listener: Arc<Mutex<Option<TcpListener>>>,
     cut_off: Arc<Mutex<bool>>,
 }
 
 impl Node {
+    /// Starts a node at a free port.
     pub fn start(name: &str, record: &Record) -> Node {
-        Node::start_at(name, "127.0.0.1", record)
+        Node::start_on(name, SocketAddr::from(([127, 0, 0, 1], 0)), record)
     }
 
-    pub fn start_at(name: &str, ip: &str, record: &Record) -> Node {
-        let listener = Arc::new(TcpListener::bind((ip, 0)).unwrap());
+    /// Starts a node at this address, which another one may have had before.
+    pub fn start_on(name: &str, address: SocketAddr, record: &Record) -> Node {
+        let listener = TcpListener::bind(address).unwrap();
+        listener.set_nonblocking(true).unwrap();
         let node = Node {
             name: name.to_string(),
             address: listener.local_addr().unwrap(),
             state: Arc::new(Mutex::new(State { answer_ms: 20, ..State::default() })),
             record: record.clone(),
-            listener: listener.clone(),
+            listener: Arc::new(Mutex::new(Some(listener))),
             cut_off: Arc::default(),
         };
         let accepting = node.clone();
-        std::thread::spawn(move || {
-            for stream in listener.incoming().flatten() {
-                accepting.wait_while_cut_off();
-                if stream.peer_addr().is_ok_and(|peer| peer.ip().to_string() == "127.9.9.9") {
-                    continue; // one that filled the queue of a node that was cut off
-                }
-                let node = accepting.clone();
-                std::thread::spawn(move || node.serve(stream));
-            }
-        });
+        std::thread::spawn(move || accepting.accept());
         node
     }
 
+    /// Accepts connections until the process has ended.
+    fn accept(&self) {
+        loop {
+            self.wait_while_cut_off();
+            let accepted = match self.listener.lock().unwrap().as_ref() {
+                Some(listener) => listener.accept(),
+                None => return,
+            };
+            let Ok((stream, peer)) = accepted else {
+                std::thread::sleep(Duration::from_millis(1));
+                continue;
+            };
+            if peer.ip().to_string() == FILLER_IP {
+                continue;
+            }
+            let _ = stream.set_nonblocking(false);
+            let node = self.clone();
+            std::thread::spawn(move || node.serve(stream));
+        }
+    }
+
+    /// Ends the node for good: its connections are reset, its sessions are over, and its address is free.
+    pub fn end(&self) {
+        self.log("ends; its connections are reset, and its sessions are over");
+        *self.cut_off.lock().unwrap() = false;
+        *self.listener.lock().unwrap() = None;
+        let mut state = self.lock();
+        state.standing.clear();
+        state.open.clear();
+        for connection in state.connections.values() {
+            sys::reset_on_close(&connection.stream);
+            let _ = connection.stream.shutdown(std::net::Shutdown::Read);
+        }
+        state.connections.clear();
+    }
+
     fn lock(&self) -> MutexGuard<'_, State> {
         self.state.lock().unwrap()
     }
@@ -104,11 +133,11 @@
         state.connections.values_mut().for_each(|c| c.holds = true);
         drop(state);
         // One connection that waits for an accept fills the queue, so that no other comes up.
-        sys::set_backlog(&self.listener, 0);
+        self.set_backlog(0);
         for _ in 0..3 {
             let address = self.address;
             std::thread::spawn(move || {
-                let filler = sys::connect_from("127.9.9.9", address);
+                let filler = sys::connect_from(FILLER_IP, address);
                 std::thread::sleep(Duration::from_secs(8));
                 drop(filler);
             });
@@ -118,24 +147,20 @@
     /// Ends the cut.
     pub fn reconnect(&self) {
         self.log("is reachable again");
-        sys::set_backlog(&self.listener, 128);
+        self.set_backlog(128);
         *self.cut_off.lock().unwrap() = false;
         let ids: Vec<u64> = self.lock().connections.keys().copied().collect();
         ids.into_iter().for_each(|id| self.release_held(id));
     }
 
-    pub fn set_answer_ms(&self, ms: u64) {
-        self.lock().answer_ms = ms;
-    }
-
-    /// The answer to this set-up never arrives, and its connection stays open and is of no more use.
-    pub fn lose_answer(&self, tag: &str) {
-        self.lock().lose_answer.insert(tag.to_string());
+    fn set_backlog(&self, backlog: i32) {
+        if let Some(listener) = self.listener.lock().unwrap().as_ref() {
+            sys::set_backlog(listener, backlog);
+        }
     }
 
-    /// The number of open connections.
-    pub fn connection_count(&self) -> usize {
-        self.lock().connections.len()
+    pub fn set_answer_ms(&self, ms: u64) {
+        self.lock().answer_ms = ms;
     }
 
     pub fn stands(&self, tag: &str) -> bool {
@@ -155,9 +180,7 @@
 
     fn send(&self, state: &mut State, id: u64, text: String) {
         let Some(connection) = state.connections.get_mut(&id) else { return };
-        if connection.dead {
-            self.log(&format!("[{id}] lost: {text}"));
-        } else if connection.holds {
+        if connection.holds {
             self.log(&format!("[{id}] held back: {text}"));
             connection.held.push(text);
         } else {
@@ -187,7 +210,7 @@
             let mut state = self.lock();
             state.next += 1;
             let id = state.next;
-            let connection = Connection { stream, held: Vec::new(), holds: false, dead: false };
+            let connection = Connection { stream, held: Vec::new(), holds: false };
             state.connections.insert(id, connection);
             self.log(&format!("[{id}] connection accepted"));
             for repeated in std::mem::take(&mut state.repeats) {
@@ -198,10 +221,6 @@
         for received in BufReader::new(reading).lines() {
             let Ok(received) = received else { break };
             self.wait_while_cut_off();
-            if self.lock().connections.get(&id).is_none_or(|connection| connection.dead) {
-                self.log(&format!("[{id}] never arrives: {received}"));
-                continue;
-            }
             self.handle(id, &received);
         }
         self.wait_while_cut_off();
@@ -244,15 +263,6 @@
             return;
         }
         state.standing.insert(tag.to_string(), (id, self.record.now()));
-        if state.lose_answer.remove(tag) {
-            if let Some(connection) = state.connections.get_mut(&id) {
-                connection.dead = true;
-            }
-            self.log(&format!(
-                "[{id}] runs {tag}; the answer never arrives, and the connection is of no more use"
-            ));
-            return;
-        }
         self.send(&mut state, id, line::started(tag, &format!("v=0\\r\\ns={} for {tag}\\r\\n", self.name)));
     }
 }
--- a/review/standin/src/sys.rs
+++ b/review/standin/src/sys.rs
@@ -1,5 +1,5 @@
-//! Calls of the C library that the standard library doesn't offer: binding before a connect, and the length of a
-//! listener's queue.
+//! Calls of the C library that the standard library doesn't offer: binding before a connect, the length of a
+//! listener's queue, and a reset in place of a close.
 
 use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4, TcpListener, TcpStream};
 use std::os::fd::{AsRawFd, FromRawFd};
@@ -17,10 +17,13 @@
     fn bind(fd: i32, address: *const SockAddrIn, length: u32) -> i32;
     fn connect(fd: i32, address: *const SockAddrIn, length: u32) -> i32;
     fn listen(fd: i32, backlog: i32) -> i32;
+    fn setsockopt(fd: i32, level: i32, name: i32, value: *const i32, length: u32) -> i32;
 }
 
 const AF_INET: i32 = 2;
 const SOCK_STREAM_CLOEXEC: i32 = 1 | 0o2000000;
+const SOL_SOCKET: i32 = 1;
+const SO_LINGER: i32 = 13;
 
 fn address(of: SocketAddrV4) -> SockAddrIn {
     SockAddrIn {
@@ -55,3 +58,10 @@
     // SAFETY: the descriptor is that of an open listener.
     unsafe { listen(listener.as_raw_fd(), backlog) };
 }
+
+/// Makes the end of the connection a reset.
+pub fn reset_on_close(stream: &TcpStream) {
+    let linger = [1, 0];
+    // SAFETY: the option's value is two integers, as `struct linger`.
+    unsafe { setsockopt(stream.as_raw_fd(), SOL_SOCKET, SO_LINGER, linger.as_ptr(), 8) };
+}
