review: scripts name their record, and end only what still runs

Each run.sh names its record.txt; a script that is ended early ends the stand-ins and the director by their ids, as long as they run.

--- a/review/standin/src/director.rs
+++ b/review/standin/src/director.rs
@@ -12,6 +12,8 @@
 
 pub struct Director {
     child: Child,
+    /// Holds the id of the process as long as it runs.
+    id_file: PathBuf,
     pub listen: SocketAddr,
     record: Record,
 }
@@ -59,8 +61,9 @@
             .spawn()
             .map_err(|e| format!("cannot start the director: {e}"))?;
         // The script that runs the case ends the director by this id, should the case itself be ended early.
-        std::fs::write(folder.join("director.pid"), child.id().to_string()).map_err(|e| e.to_string())?;
-        let mut director = Director { child, listen: config.listen, record: record.clone() };
+        let id_file = folder.join("director.pid");
+        std::fs::write(&id_file, child.id().to_string()).map_err(|e| e.to_string())?;
+        let mut director = Director { child, id_file, listen: config.listen, record: record.clone() };
         record.log("director", &format!("started as process {}", director.child.id()));
         let started = Instant::now();
         while started.elapsed() < Duration::from_secs(10) {
@@ -87,6 +90,11 @@
     /// Kills the process, as the platform does with one that is over its memory limit.
     pub fn kill(&mut self, why: &str) {
         self.record.log("platform", &format!("kills the director: {why}"));
+        self.end();
+    }
+
+    fn end(&mut self) {
+        let _ = std::fs::remove_file(&self.id_file);
         let _ = self.child.kill();
         let _ = self.child.wait();
     }
@@ -94,8 +102,7 @@
 
 impl Drop for Director {
     fn drop(&mut self) {
-        let _ = self.child.kill();
-        let _ = self.child.wait();
+        self.end();
         self.record.log("director", "ended by the test");
     }
 }
--- a/review/standin/src/main.rs
+++ b/review/standin/src/main.rs
@@ -1,8 +1,8 @@
 //! Stand-ins and scenarios of the review's cases.
 //!
-//! Usage: `review-standin CASE FOLDER`. The environment holds `RUN`, the deploy file's command, and `TROUBLE`,
+//! Usage: `review-standin CASE RECORD`. The environment holds `RUN`, the deploy file's command, and `TROUBLE`,
 //! which is 0 for a run without the disruption. The exit code is 1 if the rule was broken, 0 if it held, and 2
-//! if the case couldn't run. The record is written to `record.txt` in the folder.
+//! if the case couldn't run. What was sent, answered and run is written to the file RECORD.
 
 mod bus;
 mod cases;
@@ -24,11 +24,11 @@
 /// Time after which a run is given up.
 const LONGEST_RUN_MS: u64 = 110_000;
 
-fn run(case: &str, folder: &Path) -> Result<bool, String> {
+fn run(case: &str, record: &Path) -> Result<bool, String> {
     let context = Context {
         run: std::env::var("RUN").map_err(|_| "RUN is not set".to_string())?,
         trouble: std::env::var("TROUBLE").map_or(true, |value| value != "0"),
-        record: Record::create(&folder.join("record.txt")).map_err(|e| e.to_string())?,
+        record: Record::create(record).map_err(|e| e.to_string())?,
         folder: PathBuf::from(std::env::var("SCRATCH").map_err(|_| "SCRATCH is not set".to_string())?),
     };
     let mut result = match case {
@@ -45,8 +45,8 @@
 
 fn main() -> ExitCode {
     let arguments: Vec<String> = std::env::args().collect();
-    let [_, case, folder] = &arguments[..] else {
-        eprintln!("usage: review-standin CASE FOLDER");
+    let [_, case, record] = &arguments[..] else {
+        eprintln!("usage: review-standin CASE RECORD");
         return ExitCode::from(2);
     };
     std::thread::spawn(|| {
@@ -55,7 +55,7 @@
         // The script that started this process ends the director.
         std::process::exit(2);
     });
-    match run(case, Path::new(folder)) {
+    match run(case, Path::new(record)) {
         Ok(true) => ExitCode::from(1),
         Ok(false) => ExitCode::SUCCESS,
         Err(error) => {
