Memory limit: what holds messages is bounded in bytes, not by number alone

Cause: every bound counted entries. A queued request kept its whole message (QueuedSetup::message), a session the description until its end (SessionState::request), 1,024 events of up to 16 KB waited for the event loop, and each connection could queue 6,400 lines of any length; at 32 MB the queue alone may reach 50 MB. Found by reading for the same cause: a message kept all of its fields (Opts), of which a line of 16 KB can hold 1,400, at some 135 kB each in memory.

Ruled out: read buffers (600 unfinished lines: 13 MB with the program as found, held), answers for viewers that don't read (the decisions hold few set-ups at once; 7 MB as found).

Change: requests without an answer share an eighth of the memory limit by dynamic thresholds (byte_budget.rs): a connection may hold as much as is left free, so that a crowd can't take all room from a usual viewer; beyond that a request is refused at once with cause 42, as nothing was sent. Received messages wait for a sixteenth, which slows their senders. Lines queued for viewers and for nodes have an eighth each by the same thresholds, and a connection beyond is closed, as one with too many lines was before. A message keeps the eight fields that are used; a description goes once its request is answered; one write takes 64 KB of lines; a read buffer grows to the longest line and not to twice that.

Evidence: crates/cli/tests/memory.rs, four tests with a limit of 32 MB. As found, three of four failed: full requests 49.9 MB, requests with many fields 75.9 MB (600 of them; 405 MB with 3,000), SETUPs for a node that doesn't read 46.5 MB; unfinished lines 12.9 MB held.

--- /dev/null
+++ b/crates/cli/tests/memory.rs
@@ -0,0 +1,201 @@
+//! A director stays below its memory limit, whatever the length of the messages that its peers send and however
+//! slowly they read. The platform kills a process that exceeds the limit.
+
+use std::io::{BufRead, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::ops::Range;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::thread::JoinHandle;
+use std::time::Duration;
+
+#[allow(dead_code)]
+mod support;
+use support::{Bus, Node, Program, ScriptedNode, TIMEOUT, Viewer, endpoint, endpoint_at};
+
+/// The lowest memory limit of the platform.
+const MEMORY_LIMIT_MB: u64 = 32;
+/// Connections that send a burst of requests each, and the number of requests in a burst.
+const CLIENTS: u64 = 6;
+const REQUESTS_PER_CLIENT: u64 = 500;
+/// Number of requests in a burst if each of them holds more than a thousand fields.
+const REQUESTS_WITH_MANY_FIELDS: u64 = 100;
+/// Length of a request that nearly reaches the protocol's limit of 16 KiB.
+const FULL_REQUEST_BYTES: usize = 16_300;
+/// Requests of a usual viewer that are answered while the bursts are handled.
+const USUAL_REQUESTS: u64 = 20;
+
+/// Starts a program with the lowest memory limit that knows these nodes and has passed a health check.
+fn start(nodes: &str) -> Program {
+    let bus = Arc::new(Bus::default());
+    let (address, polls) = bus.serve();
+    let program = Program::start_with_log(address, "info", |text| {
+        text.replace(
+            r#""memory_mb": 64, "sockets": 64"#,
+            &format!(r#""memory_mb": {MEMORY_LIMIT_MB}, "sockets": 1024"#),
+        )
+        .replace(r#""kindStreams": [200]"#, r#""kindStreams": [90000]"#)
+    });
+    bus.publish(nodes, true);
+    while polls.recv_timeout(TIMEOUT).unwrap() < 1 {}
+    assert!(Viewer::connect(program.listen).health_check().contains(r#""rc":1"#));
+    program
+}
+
+/// Records the largest amount of private memory of a process, until it is asked for it.
+struct MemoryWatch {
+    stopped: Arc<AtomicBool>,
+    largest_kb: Arc<AtomicU64>,
+    thread: JoinHandle<()>,
+}
+
+impl MemoryWatch {
+    fn start(program: &Program) -> MemoryWatch {
+        let status_file = format!("/proc/{}/status", program.child.id());
+        let (stopped, largest_kb) = (Arc::new(AtomicBool::new(false)), Arc::new(AtomicU64::new(0)));
+        let (is_stopped, largest) = (stopped.clone(), largest_kb.clone());
+        let thread = std::thread::spawn(move || {
+            while !is_stopped.load(Ordering::SeqCst) {
+                largest.fetch_max(private_memory_kb(&status_file), Ordering::SeqCst);
+                std::thread::sleep(Duration::from_millis(1));
+            }
+        });
+        MemoryWatch { stopped, largest_kb, thread }
+    }
+
+    fn assert_below_limit(self) {
+        self.stopped.store(true, Ordering::SeqCst);
+        self.thread.join().unwrap();
+        let largest_kb = self.largest_kb.load(Ordering::SeqCst);
+        println!("the process held {largest_kb} kB at most");
+        assert!(largest_kb > 0, "the memory of the process could not be read");
+        assert!(
+            largest_kb <= MEMORY_LIMIT_MB * 1024,
+            "{largest_kb} kB, with a limit of {MEMORY_LIMIT_MB} MB"
+        );
+    }
+}
+
+/// Returns the memory that the process holds for itself, without the pages of its program file.
+fn private_memory_kb(status_file: &str) -> u64 {
+    let status = std::fs::read_to_string(status_file).unwrap_or_default();
+    let value = status.lines().find_map(|line| line.strip_prefix("RssAnon:"));
+    value.and_then(|value| value.split_whitespace().next()?.parse().ok()).unwrap_or(0)
+}
+
+/// Returns a request of this title with further members of its fields and a description.
+fn request(tag: u64, key: &str, fields: &str, description: &str) -> String {
+    format!(
+        r#"{{"verb":"START","tag":"{tag:016x}","opts":{{"class":"clip","left":"3000","key":"{key}","extras":"home:0;copies:1;top:1"{fields}}},"blob":"{description}"}}"#
+    )
+}
+
+fn full_request(tag: u64, key: &str) -> String {
+    let length = FULL_REQUEST_BYTES - request(tag, key, "", "").len();
+    request(tag, key, "", &"x".repeat(length))
+}
+
+/// Sends the burst of one client on a connection of its own. The director may close it.
+fn send_burst(listen: SocketAddr, tags: Range<u64>, line: fn(u64) -> String) -> TcpStream {
+    let burst: Vec<String> = tags.map(line).collect();
+    let mut stream = TcpStream::connect(listen).unwrap();
+    stream.set_write_timeout(Some(TIMEOUT)).unwrap();
+    let _ = stream.write_all((burst.join("\n") + "\n").as_bytes());
+    stream
+}
+
+/// Sends the bursts of this many clients at once. The returned threads end with their connections.
+fn send_bursts(
+    program: &Program,
+    clients: u64,
+    requests_per_client: u64,
+    line: fn(u64) -> String,
+) -> Vec<JoinHandle<TcpStream>> {
+    let listen = program.listen;
+    let spawn = |client: u64| {
+        let first_tag = 10_000 + client * requests_per_client;
+        let tags = first_tag..first_tag + requests_per_client;
+        std::thread::spawn(move || send_burst(listen, tags, line))
+    };
+    (0..clients).map(spawn).collect()
+}
+
+/// Reads until each of this many requests has an answer, or the connection ends.
+fn read_answers(stream: TcpStream, requests: u64) {
+    stream.set_read_timeout(Some(TIMEOUT)).unwrap();
+    let lines = std::io::BufReader::new(stream).lines();
+    let _ = lines.map_while(Result::ok).take(requests as usize).count();
+}
+
+/// Sends requests of a usual viewer one after another, each of which must be answered.
+fn assert_usual_requests_are_answered(program: &Program) {
+    let mut viewer = Viewer::connect(program.listen);
+    for tag in 1..=USUAL_REQUESTS {
+        viewer.request_session(tag, "7f");
+        let answer = viewer.receive();
+        assert!(answer.contains(&format!("{tag:016x}")), "request {tag} was answered by {answer:?}");
+    }
+}
+
+/// Guards against a director that is killed for memory because its limits counted requests and not their bytes.
+#[test]
+fn bursts_of_full_requests_stay_below_the_memory_limit() {
+    let node = Node::start();
+    let program = start(&endpoint("n1", &node, 0));
+    let memory = MemoryWatch::start(&program);
+    let clients = send_bursts(&program, CLIENTS, REQUESTS_PER_CLIENT, |tag| full_request(tag, "fa"));
+    assert_usual_requests_are_answered(&program);
+    clients.into_iter().for_each(|client| read_answers(client.join().unwrap(), REQUESTS_PER_CLIENT));
+    assert_usual_requests_are_answered(&program);
+    memory.assert_below_limit();
+}
+
+/// Guards against a director that is killed for memory because it keeps all fields of a message, of which a full
+/// one can hold more than a thousand.
+#[test]
+fn bursts_of_requests_with_many_fields_stay_below_the_memory_limit() {
+    let node = Node::start();
+    let program = start(&endpoint("n1", &node, 0));
+    let memory = MemoryWatch::start(&program);
+    let clients = send_bursts(&program, CLIENTS, REQUESTS_WITH_MANY_FIELDS, |tag| {
+        let fields: String = (0..1_400).map(|n| format!(r#","{n:03x}":"""#)).collect();
+        request(tag, "fa", &fields, "v=0")
+    });
+    assert_usual_requests_are_answered(&program);
+    clients.into_iter().for_each(|client| read_answers(client.join().unwrap(), REQUESTS_WITH_MANY_FIELDS));
+    memory.assert_below_limit();
+}
+
+/// Guards against a director that is killed for memory because SETUPs pile up for a node that does not read.
+#[test]
+fn setups_for_a_node_that_does_not_read_stay_below_the_memory_limit() {
+    let (node, hung_node) = (Node::start(), ScriptedNode::start());
+    let program = start(&[endpoint("n1", &node, 0), endpoint_at("n2", hung_node.address, 1)].join(","));
+    let memory = MemoryWatch::start(&program);
+    let clients = send_bursts(&program, CLIENTS, REQUESTS_PER_CLIENT, |tag| {
+        full_request(tag, "fa").replace("home:0;copies:1", "home:1;copies:1")
+    });
+    assert_usual_requests_are_answered(&program);
+    clients.into_iter().for_each(|client| read_answers(client.join().unwrap(), REQUESTS_PER_CLIENT));
+    memory.assert_below_limit();
+}
+
+/// Guards against a director that is killed for memory because of long lines that never end, on all connections
+/// that it accepts.
+#[test]
+fn unfinished_lines_stay_below_the_memory_limit() {
+    let node = Node::start();
+    let program = start(&endpoint("n1", &node, 0));
+    let memory = MemoryWatch::start(&program);
+    let line = full_request(1, "fa");
+    let connections: Vec<TcpStream> = (0..600)
+        .filter_map(|_| {
+            let mut stream = TcpStream::connect(program.listen).unwrap();
+            stream.write_all(line.as_bytes()).is_ok().then_some(stream)
+        })
+        .collect();
+    // The director closes each connection because its line is not completed in time.
+    connections.into_iter().for_each(|stream| read_answers(stream, 1));
+    assert_usual_requests_are_answered(&program);
+    memory.assert_below_limit();
+}
--- a/crates/cli/tests/support/mod.rs
+++ b/crates/cli/tests/support/mod.rs
@@ -113,7 +113,7 @@
 }
 
 /// A test double of a media node. Its reaction to a SETUP depends on the title: it sends a malformed answer
-/// for `bad`, closes the connection for `dead`, and accepts any other.
+/// for `bad`, closes the connection for `dead`, reports an error for `fa`, and accepts any other.
 pub struct Node {
     pub address: SocketAddr,
     /// The lines received on all connections.
@@ -162,6 +162,9 @@
             // A malformed answer. The director closes the connection and opens another.
             (Some("START"), Some("bad")) => "{\"verb\":\"STARTED\",\"tag\":\"\u{1}\n".to_string(),
             (Some("START"), Some("dead")) => return,
+            (Some("START"), Some("fa")) => {
+                format!("{{\"verb\":\"FINISH\",\"tag\":\"{tag}\",\"opts\":{{}},\"rc\":47}}\n")
+            }
             (Some("START"), _) => format!(
                 "{{\"verb\":\"PENDING\",\"tag\":\"{tag}\",\"opts\":{{}}}}\n{{\"verb\":\"STARTED\",\"tag\":\"{tag}\",\"opts\":{{\"load\":\"x0:0.1\"}},\"blob\":\"for {tag}\\r\\n\"}}\n"
             ),
@@ -225,6 +228,9 @@
     }
 }
 
+/// Filter of the log lines of a director on the platform.
+const PLATFORM_LOG: &str = "info,ashglade_platform=trace";
+
 /// A running process of the built program. Dropping it kills the process.
 pub struct Program {
     pub child: Child,
@@ -289,18 +295,32 @@
 
     /// Like [`Program::start`], with a changed configuration.
     pub fn start_with(bus: SocketAddr, change: impl Fn(String) -> String) -> Program {
+        Program::start_with_log(bus, PLATFORM_LOG, change)
+    }
+
+    /// Like [`Program::start_with`], with this filter of log lines.
+    pub fn start_with_log(bus: SocketAddr, log_filter: &str, change: impl Fn(String) -> String) -> Program {
         let directory = tempfile::tempdir().unwrap();
         let (file, listen) = (directory.path().join("config.json"), free_address());
         std::fs::write(&file, change(config(listen, bus, r#"{"offset": 0, "batch": []}"#))).unwrap();
-        let mut program = Program::spawn(directory, file, listen);
+        let mut program = Program::spawn_with_log(directory, file, listen, log_filter);
         program.wait_for_log("serving");
         program
     }
 
     /// Starts the program without waiting for it.
     pub fn spawn(directory: tempfile::TempDir, config: PathBuf, listen: SocketAddr) -> Program {
+        Program::spawn_with_log(directory, config, listen, PLATFORM_LOG)
+    }
+
+    fn spawn_with_log(
+        directory: tempfile::TempDir,
+        config: PathBuf,
+        listen: SocketAddr,
+        log_filter: &str,
+    ) -> Program {
         let mut command = Command::new(env!("CARGO_BIN_EXE_ashglade"));
-        command.args(["--log", "info,ashglade_platform=trace", "platform"]).env("BALANCER_CONFIG", &config);
+        command.args(["--log", log_filter, "platform"]).env("BALANCER_CONFIG", &config);
         Program::spawn_command(command, directory, config, listen)
     }
 
--- a/crates/platform-director/src/connection.rs
+++ b/crates/platform-director/src/connection.rs
@@ -16,7 +16,8 @@
 use std::io::ErrorKind;
 use std::time::Duration;
 
-use ashglade_platform::LineDecoder;
+use ashglade_platform::line_decoder::MAX_LINE_BYTES;
+use ashglade_platform::{Event, LineDecoder};
 use bytes::{Buf, Bytes, BytesMut};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
@@ -26,7 +27,8 @@
 use tokio::time::{Instant, sleep_until, timeout, timeout_at};
 use tokio_util::codec::Decoder;
 
-use crate::event_loop::ConnectionEvent;
+use crate::command_queue::{ConnectionCommand, QueuedLine};
+use crate::event_loop::EventSender;
 
 /// Maximum number of bytes per read, so that a fast sender does not starve the other connections.
 const READ_CHUNK_BYTES: usize = 4096;
@@ -38,20 +40,8 @@
 const TRANSIT_TIME: Duration = Duration::from_secs(1);
 /// Maximum number of lines per write.
 const MAX_LINES_PER_WRITE: usize = 64;
-
-/// What the event loop asks of a connection. Dropping the sender of the commands closes the connection once
-/// all queued lines are written.
-#[derive(Debug)]
-pub enum ConnectionCommand {
-    /// Send a line.
-    SendLine(Bytes),
-    /// Send a line to a peer that has closed, in case it closed only its sending half and still reads. Never
-    /// reported as unwritten.
-    SendAfterClose(Bytes),
-    /// Close the connection unless it has received a message that the event loop had not processed when it
-    /// sent the command. Holds the number of messages processed by then.
-    CloseIfIdle(u64),
-}
+/// Number of bytes from which on no further line is added to a write.
+const MAX_BYTES_PER_WRITE: usize = 64 * 1024;
 
 /// Why a connection ended.
 #[derive(Clone, Copy, PartialEq, Eq)]
@@ -84,8 +74,8 @@
 /// Result of handling a received line.
 pub enum LineOutcome {
     Ignore,
-    /// Send the event to the event loop.
-    Event(ConnectionEvent),
+    /// Send the message to the event loop.
+    Event(Event),
     /// Send the line once the connection has ended: the peer has closed, but may still read.
     Reply(Bytes),
 }
@@ -124,7 +114,7 @@
             } else {
                 self.line_deadline.get_or_insert_with(|| Instant::now() + line_timeout);
             }
-            self.buffer.reserve(READ_CHUNK_BYTES);
+            self.reserve_chunk();
             let mut limited = (&mut self.half).take(READ_CHUNK_BYTES as u64);
             let read = limited.read_buf(&mut self.buffer);
             let read = match self.line_deadline {
@@ -138,11 +128,22 @@
         }
     }
 
+    /// Makes room for one chunk. A buffer that must grow for a long line gets room for the longest, as doubling
+    /// its size would take more.
+    fn reserve_chunk(&mut self) {
+        let wanted = if self.buffer.len() < READ_CHUNK_BYTES {
+            READ_CHUNK_BYTES
+        } else {
+            READ_CHUNK_BYTES.max(MAX_LINE_BYTES + READ_CHUNK_BYTES - self.buffer.len().min(MAX_LINE_BYTES))
+        };
+        self.buffer.reserve(wanted);
+    }
+
     /// Reads data that has already arrived, up to about one chunk, so that a close right behind the buffered
     /// lines is known before the lines are processed.
     fn read_available(&mut self) {
         while !self.peer_closed && !self.buffer.is_empty() && self.buffer.len() < READ_CHUNK_BYTES {
-            self.buffer.reserve(READ_CHUNK_BYTES);
+            self.reserve_chunk();
             match self.half.try_read_buf(&mut self.buffer) {
                 Ok(0) => self.peer_closed = true,
                 Ok(_) => {}
@@ -175,9 +176,10 @@
 struct Writer {
     half: OwnedWriteHalf,
     /// Lines whose write has not begun.
-    queued: Vec<Bytes>,
+    queued: Vec<QueuedLine>,
+    queued_bytes: usize,
     /// Lines whose write has begun.
-    in_flight: Vec<Bytes>,
+    in_flight: Vec<QueuedLine>,
     /// The bytes of `in_flight` that are not written yet.
     unsent: Bytes,
     /// When the next bytes must be written.
@@ -191,22 +193,32 @@
     }
 
     fn has_room(&self) -> bool {
-        self.queued.len() < MAX_LINES_PER_WRITE
+        self.queued.len() < MAX_LINES_PER_WRITE && self.queued_bytes < MAX_BYTES_PER_WRITE
+    }
+
+    fn queue(&mut self, line: QueuedLine) {
+        self.queued_bytes += line.as_bytes().len();
+        self.queued.push(line);
     }
 
     /// Writes once, possibly a part of the unsent bytes. Cancel-safe.
     async fn write_some(&mut self) -> Result<(), EndReason> {
         if self.unsent.is_empty() {
             self.in_flight = std::mem::take(&mut self.queued);
+            self.queued_bytes = 0;
             self.unsent = match &self.in_flight[..] {
-                [line] => line.clone(),
-                lines => Bytes::from(lines.concat()),
+                [line] => line.as_bytes().clone(),
+                lines => concat(lines),
             };
             self.write_deadline = Instant::now() + WRITE_TIMEOUT;
         }
         let written = timeout_at(self.write_deadline, self.half.write(&self.unsent)).await;
         let count = written.map_err(|_| EndReason::WriteTimeout)?.map_err(|_| EndReason::PeerClosed)?;
         self.unsent.advance(count);
+        if self.unsent.is_empty() {
+            self.unsent = Bytes::new();
+            self.in_flight.clear();
+        }
         (self.write_deadline, self.last_write_at) = (Instant::now() + WRITE_TIMEOUT, Some(Instant::now()));
         Ok(())
     }
@@ -218,14 +230,20 @@
         let (mut remaining, mut first_unwritten) = (self.unsent.len(), self.in_flight.len());
         while remaining > 0 && first_unwritten > 0 {
             first_unwritten -= 1;
-            remaining = remaining.saturating_sub(self.in_flight[first_unwritten].len());
+            remaining = remaining.saturating_sub(self.in_flight[first_unwritten].as_bytes().len());
         }
         let mut lines = self.in_flight.split_off(first_unwritten);
         lines.append(&mut self.queued);
-        (lines, at_line_boundary.then_some(self.half))
+        (lines.into_iter().map(QueuedLine::into_bytes).collect(), at_line_boundary.then_some(self.half))
     }
 }
 
+fn concat(lines: &[QueuedLine]) -> Bytes {
+    let mut joined = BytesMut::with_capacity(lines.iter().map(|line| line.as_bytes().len()).sum());
+    lines.iter().for_each(|line| joined.extend_from_slice(line.as_bytes()));
+    joined.freeze()
+}
+
 /// How a connection ended.
 pub struct ClosedConnection {
     pub reason: EndReason,
@@ -251,7 +269,7 @@
                     ConnectionCommand::SendAfterClose(line) if writable => {
                         (writable, wrote) = (half.write_all(&line).await.is_ok(), true);
                     }
-                    ConnectionCommand::SendLine(line) => unwritten.push(line),
+                    ConnectionCommand::SendLine(line) => unwritten.push(line.into_bytes()),
                     _ => {}
                 }
             }
@@ -273,7 +291,7 @@
     stream: TcpStream,
     line_timeout: Duration,
     commands: &mut mpsc::Receiver<ConnectionCommand>,
-    events: &mpsc::Sender<ConnectionEvent>,
+    events: &EventSender,
     mut handle_line: impl FnMut(Bytes, bool) -> Result<LineOutcome, MalformedLine>,
 ) -> ClosedConnection {
     let _ = stream.set_nodelay(true);
@@ -285,9 +303,15 @@
         peer_closed: false,
         line_deadline: None,
     };
-    let (queued, in_flight, write_deadline) = (Vec::new(), Vec::new(), Instant::now());
-    let mut writer =
-        Writer { half: write, queued, in_flight, unsent: Bytes::new(), write_deadline, last_write_at: None };
+    let mut writer = Writer {
+        half: write,
+        queued: Vec::new(),
+        queued_bytes: 0,
+        in_flight: Vec::new(),
+        unsent: Bytes::new(),
+        write_deadline: Instant::now(),
+        last_write_at: None,
+    };
     let mut reported_messages = 0;
     let mut replies: Vec<Bytes> = Vec::new();
     // Set once the sender of the commands is dropped: queued lines are written until then.
@@ -298,12 +322,13 @@
             biased;
             line = reader.next_line(line_timeout) => match line {
                 Ok(line) => {
+                    let bytes = line.len();
                     match handle_line(line, reader.peer_closed) {
                         Ok(LineOutcome::Ignore) => {}
                         Ok(LineOutcome::Reply(line)) => replies.push(line),
                         Ok(LineOutcome::Event(event)) => {
                             reported_messages += 1;
-                            if events.send(event).await.is_err() {
+                            if !events.send_message(event, bytes).await {
                                 break EndReason::LocalClose;
                             }
                         }
@@ -323,12 +348,12 @@
                 }
                 command
             }
-            () = sleep_until(close_deadline.unwrap_or(write_deadline)), if close_deadline.is_some() => break EndReason::WriteTimeout,
+            () = sleep_until(close_deadline.unwrap_or_else(Instant::now)), if close_deadline.is_some() => break EndReason::WriteTimeout,
         };
         let had_command = command.is_some();
         while let Some(current) = command {
             match current {
-                ConnectionCommand::SendLine(line) => writer.queued.push(line),
+                ConnectionCommand::SendLine(line) => writer.queue(line),
                 ConnectionCommand::SendAfterClose(_) => {}
                 ConnectionCommand::CloseIfIdle(processed_messages) => {
                     // Lets the runtime poll the sockets: after a stall of the process, data may have arrived
@@ -374,7 +399,7 @@
     }
     while let Ok(command) = commands.try_recv() {
         if let ConnectionCommand::SendLine(line) = command {
-            unwritten.push(line);
+            unwritten.push(line.into_bytes());
         }
     }
     ClosedConnection { reason, unwritten, half_open }
--- a/crates/platform-director/src/downstream.rs
+++ b/crates/platform-director/src/downstream.rs
@@ -12,7 +12,7 @@
 use tracing::{debug, info};
 
 use crate::connection::{LineOutcome, MalformedLine, run_connection};
-use crate::event_loop::ConnectionEvent;
+use crate::event_loop::{ConnectionEvent, EventSender};
 
 /// Time within which a line that has begun must be complete. The protocol requires that a connection that
 /// sends no complete request is closed within 3 s of connecting.
@@ -26,10 +26,10 @@
     stream: TcpStream,
     descriptor: OwnedSemaphorePermit,
     max_queued_lines: usize,
-    events: mpsc::Sender<ConnectionEvent>,
+    events: EventSender,
 ) {
     let (sender, mut commands) = mpsc::channel(max_queued_lines);
-    if events.send(ConnectionEvent::Opened(downstream, client, sender)).await.is_err() {
+    if !events.send(ConnectionEvent::Opened(downstream, client, sender)).await {
         return;
     }
     let handle_line = |line: Bytes, peer_closed: bool| match Message::parse(&line) {
@@ -40,9 +40,7 @@
                 message.tag.and_then(|tag| message::encode(Verb::Finish, tag, &[], Some(CONGESTION), None));
             Ok(refusal.map_or(LineOutcome::Ignore, LineOutcome::Reply))
         }
-        Ok(message) => {
-            Ok(LineOutcome::Event(ConnectionEvent::Gateway(Event::DownstreamMessage(downstream, message))))
-        }
+        Ok(message) => Ok(LineOutcome::Event(Event::DownstreamMessage(downstream, message))),
         Err(error) => {
             info!(link = downstream.0, from = %client, %error, "malformed line from a viewer; closing the connection");
             Err(MalformedLine)
--- a/crates/platform-director/src/event_loop.rs
+++ b/crates/platform-director/src/event_loop.rs
@@ -8,15 +8,15 @@
 
 use ashglade::time::Instant;
 use ashglade_clock::Clock;
-use ashglade_platform::{Action, DownstreamId, Event, Gateway, UpstreamId};
+use ashglade_platform::{Action, ByteBudget, DownstreamId, Event, Gateway, UpstreamId};
 use bytes::Bytes;
 use tokio::net::TcpListener;
-use tokio::sync::{Semaphore, mpsc, oneshot};
+use tokio::sync::{OwnedSemaphorePermit, Semaphore, mpsc, oneshot};
 use tokio::task::yield_now;
 use tokio::time::{MissedTickBehavior, timeout_at};
 use tracing::{debug, info};
 
-use crate::connection::ConnectionCommand;
+use crate::command_queue::{CommandSender, ConnectionCommand};
 use crate::listener::Acceptor;
 use crate::upstream;
 
@@ -24,6 +24,8 @@
 /// the tasks that read sockets and loses nothing: unread data stays in the kernel's socket buffers, and flow
 /// control slows its sender.
 const MAX_EVENTS_PER_BATCH: usize = 1024;
+/// Memory that a received message needs beside its text, in bytes.
+const MESSAGE_OVERHEAD_BYTES: usize = 1024;
 /// Capacity of the channel of priority events, of which there are few.
 const PRIORITY_QUEUE_LENGTH: usize = 4;
 /// Interval of the log line with sizes and counters.
@@ -44,6 +46,40 @@
     Opened(DownstreamId, IpAddr, mpsc::Sender<ConnectionCommand>),
     /// An event for the gateway.
     Gateway(Event),
+    /// A received message for the gateway. The permit holds its bytes until it has been processed.
+    Message(Event, OwnedSemaphorePermit),
+}
+
+/// Sends what connections report to the event loop, bounded in number and in bytes. A full channel delays the
+/// tasks that read sockets and loses nothing.
+#[derive(Clone)]
+pub struct EventSender {
+    events: mpsc::Sender<ConnectionEvent>,
+    received_bytes: Arc<Semaphore>,
+    max_received_bytes: usize,
+}
+
+impl EventSender {
+    fn new(events: mpsc::Sender<ConnectionEvent>, max_received_bytes: usize) -> EventSender {
+        EventSender {
+            events,
+            received_bytes: Arc::new(Semaphore::new(max_received_bytes)),
+            max_received_bytes,
+        }
+    }
+
+    /// Sends what is not a message. Returns false if the event loop has ended.
+    pub async fn send(&self, event: ConnectionEvent) -> bool {
+        self.events.send(event).await.is_ok()
+    }
+
+    /// Sends a message whose text has this length, once its bytes are free. Returns false if the event loop has
+    /// ended.
+    pub async fn send_message(&self, message: Event, text_bytes: usize) -> bool {
+        let bytes = (text_bytes + MESSAGE_OVERHEAD_BYTES).min(self.max_received_bytes) as u32;
+        let Ok(permit) = self.received_bytes.clone().acquire_many_owned(bytes).await else { return false };
+        self.send(ConnectionEvent::Message(message, permit)).await
+    }
 }
 
 /// Descriptors available to connections, including those that are being closed. The two limits together leave
@@ -70,12 +106,15 @@
     clock: Clock,
     connect_timeout: Duration,
     descriptors: DescriptorPools,
-    connection_events: (mpsc::Sender<ConnectionEvent>, mpsc::Receiver<ConnectionEvent>),
+    connection_events: (EventSender, mpsc::Receiver<ConnectionEvent>),
     /// Discovery updates and the start of a drain, which must not wait behind a flood of connections.
     priority_events: (mpsc::Sender<Event>, mpsc::Receiver<Event>),
     /// Viewers' connections, with the number of messages received from each.
-    downstreams: BTreeMap<DownstreamId, (mpsc::Sender<ConnectionCommand>, u64)>,
-    upstreams: BTreeMap<UpstreamId, mpsc::Sender<ConnectionCommand>>,
+    downstreams: BTreeMap<DownstreamId, (CommandSender, u64)>,
+    upstreams: BTreeMap<UpstreamId, CommandSender>,
+    /// Bytes of the lines queued for viewers and for nodes.
+    downstream_line_bytes: ByteBudget,
+    upstream_line_bytes: ByteBudget,
     /// Events of the next batch.
     pending_events: Vec<Event>,
     /// Ends the accepting of viewers' connections when it is dropped.
@@ -84,15 +123,19 @@
 
 impl EventLoop {
     pub fn new(gateway: Gateway, clock: Clock, connect_timeout: Duration) -> EventLoop {
+        let (events, received_events) = mpsc::channel(MAX_EVENTS_PER_BATCH);
+        let limits = *gateway.resource_limits();
         EventLoop {
             descriptors: DescriptorPools::new(&gateway),
             gateway,
             clock,
             connect_timeout,
-            connection_events: mpsc::channel(MAX_EVENTS_PER_BATCH),
+            connection_events: (EventSender::new(events, limits.received_bytes), received_events),
             priority_events: mpsc::channel(PRIORITY_QUEUE_LENGTH),
             downstreams: BTreeMap::new(),
             upstreams: BTreeMap::new(),
+            downstream_line_bytes: ByteBudget::new(limits.line_bytes),
+            upstream_line_bytes: ByteBudget::new(limits.line_bytes),
             pending_events: Vec::new(),
             stop_listening: None,
         }
@@ -110,7 +153,7 @@
         self.stop_listening = Some(stop);
         let acceptor = Acceptor::new(
             self.descriptors.downstream.clone(),
-            self.gateway.max_queued_lines(),
+            self.gateway.resource_limits().queued_lines,
             self.connection_events.0.clone(),
         );
         acceptor.run(listener, stopped)
@@ -152,30 +195,37 @@
                 received.push(event);
             }
             let mut closed = Vec::new();
+            let mut received_bytes = Vec::new();
             for event in received.drain(..) {
                 match event {
                     ConnectionEvent::Opened(downstream, client, sender) => {
+                        let sender = CommandSender::new(sender, self.downstream_line_bytes.open_account());
                         self.downstreams.insert(downstream, (sender, 0));
                         self.pending_events.push(Event::DownstreamOpened(downstream, client));
                     }
                     ConnectionEvent::Gateway(event) => {
                         match event {
-                            Event::DownstreamMessage(downstream, _) => {
-                                if let Some((_, message_count)) = self.downstreams.get_mut(&downstream) {
-                                    *message_count += 1;
-                                }
-                            }
                             Event::DownstreamClosed(downstream, _) => closed.push(downstream),
                             Event::UpstreamClosed(upstream, ..) => drop(self.upstreams.remove(&upstream)),
                             _ => {}
                         }
                         self.pending_events.push(event);
                     }
+                    ConnectionEvent::Message(message, bytes) => {
+                        if let Event::DownstreamMessage(downstream, _) = &message
+                            && let Some((_, message_count)) = self.downstreams.get_mut(downstream)
+                        {
+                            *message_count += 1;
+                        }
+                        self.pending_events.push(message);
+                        received_bytes.push(bytes);
+                    }
                 }
             }
             for action in self.gateway.process(self.clock.now(), std::mem::take(&mut self.pending_events)) {
                 self.execute(action);
             }
+            drop(received_bytes);
             // Only now: the actions of this batch may have sent final lines to closed connections.
             for downstream in closed {
                 self.downstreams.remove(&downstream);
@@ -207,9 +257,8 @@
     fn execute(&mut self, action: Action) {
         match action {
             Action::SendDownstream(downstream, line) => {
-                if let Some(line) =
-                    queue_line(self.downstreams.get(&downstream).map(|(sender, _)| sender), line)
-                {
+                let sender = self.downstreams.get(&downstream).map(|(sender, _)| sender);
+                if let Err(line) = send_line(sender, line) {
                     debug!(
                         link = downstream.0,
                         "line not queued: the queue is full or the connection has ended"
@@ -220,17 +269,18 @@
             }
             Action::SendDownstreamAfterClose(downstream, line) => {
                 if let Some((connection, _)) = self.downstreams.get(&downstream) {
-                    let _ = connection.try_send(ConnectionCommand::SendAfterClose(line));
+                    connection.send_after_close(line);
                 }
             }
             Action::CloseDownstream(downstream) => drop(self.downstreams.remove(&downstream)),
             Action::CloseDownstreamIfIdle(downstream) => {
                 if let Some((connection, message_count)) = self.downstreams.get(&downstream) {
-                    let _ = connection.try_send(ConnectionCommand::CloseIfIdle(*message_count));
+                    connection.close_if_idle(*message_count);
                 }
             }
             Action::ConnectUpstream(upstream, address) => {
-                let (sender, commands) = mpsc::channel(self.gateway.max_queued_lines());
+                let (sender, commands) = mpsc::channel(self.gateway.resource_limits().queued_lines);
+                let sender = CommandSender::new(sender, self.upstream_line_bytes.open_account());
                 self.upstreams.insert(upstream, sender);
                 let (descriptors, events) =
                     (self.descriptors.upstream.clone(), self.connection_events.0.clone());
@@ -244,7 +294,7 @@
                 ));
             }
             Action::SendUpstream(upstream, line) => {
-                if let Some(line) = queue_line(self.upstreams.get(&upstream), line) {
+                if let Err(line) = send_line(self.upstreams.get(&upstream), line) {
                     debug!(
                         trunk = upstream.0,
                         "line not queued: the queue is full or the connection has ended"
@@ -266,10 +316,9 @@
 }
 
 /// Queues a line on a connection. Returns the line if the queue is full or the connection has ended.
-fn queue_line(connection: Option<&mpsc::Sender<ConnectionCommand>>, line: Bytes) -> Option<Bytes> {
-    let Some(connection) = connection else { return Some(line) };
-    match connection.try_send(ConnectionCommand::SendLine(line)).err()?.into_inner() {
-        ConnectionCommand::SendLine(line) => Some(line),
-        ConnectionCommand::SendAfterClose(_) | ConnectionCommand::CloseIfIdle(_) => None,
+fn send_line(connection: Option<&CommandSender>, line: Bytes) -> Result<(), Bytes> {
+    match connection {
+        Some(connection) => connection.send_line(line),
+        None => Err(line),
     }
 }
--- a/crates/platform-director/src/lib.rs
+++ b/crates/platform-director/src/lib.rs
@@ -2,6 +2,7 @@
 //! All tasks run on one thread. One task owns the gateway and processes all events that have arrived in one
 //! batch; each connection has a task of its own.
 
+mod command_queue;
 mod connection;
 mod discovery;
 mod downstream;
--- a/crates/platform-director/src/listener.rs
+++ b/crates/platform-director/src/listener.rs
@@ -7,11 +7,11 @@
 
 use ashglade_platform::DownstreamId;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{OwnedSemaphorePermit, Semaphore, mpsc, oneshot};
+use tokio::sync::{OwnedSemaphorePermit, Semaphore, oneshot};
 use tracing::warn;
 
 use crate::downstream;
-use crate::event_loop::ConnectionEvent;
+use crate::event_loop::EventSender;
 
 /// Delay before the next `accept` after a failed one, as when the process or host has no descriptor left.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
@@ -21,16 +21,12 @@
 pub struct Acceptor {
     descriptors: Arc<Semaphore>,
     max_queued_lines: usize,
-    events: mpsc::Sender<ConnectionEvent>,
+    events: EventSender,
     next_id: u64,
 }
 
 impl Acceptor {
-    pub fn new(
-        descriptors: Arc<Semaphore>,
-        max_queued_lines: usize,
-        events: mpsc::Sender<ConnectionEvent>,
-    ) -> Acceptor {
+    pub fn new(descriptors: Arc<Semaphore>, max_queued_lines: usize, events: EventSender) -> Acceptor {
         Acceptor { descriptors, max_queued_lines, events, next_id: 0 }
     }
 
--- a/crates/platform-director/src/upstream.rs
+++ b/crates/platform-director/src/upstream.rs
@@ -12,10 +12,9 @@
 use tokio::time::timeout;
 use tracing::{info, warn};
 
-use crate::connection::{
-    ClosedConnection, ConnectionCommand, EndReason, LineOutcome, MalformedLine, run_connection,
-};
-use crate::event_loop::ConnectionEvent;
+use crate::command_queue::ConnectionCommand;
+use crate::connection::{ClosedConnection, EndReason, LineOutcome, MalformedLine, run_connection};
+use crate::event_loop::{ConnectionEvent, EventSender};
 
 /// Returns the close reason for a connection that was not established. A lack of local resources says nothing
 /// about the node.
@@ -35,7 +34,7 @@
     }
 }
 
-async fn send_event(events: &mpsc::Sender<ConnectionEvent>, event: Event) {
+async fn send_event(events: &EventSender, event: Event) {
     let _ = events.send(ConnectionEvent::Gateway(event)).await;
 }
 
@@ -49,7 +48,7 @@
     connect_timeout: Duration,
     descriptors: Arc<Semaphore>,
     mut commands: mpsc::Receiver<ConnectionCommand>,
-    events: mpsc::Sender<ConnectionEvent>,
+    events: EventSender,
 ) {
     // A descriptor becomes free as soon as another connection has ended.
     let Ok(Ok(descriptor)) = timeout(connect_timeout, descriptors.acquire_owned()).await else {
@@ -78,9 +77,7 @@
     };
     send_event(&events, Event::UpstreamConnected(upstream)).await;
     let handle_line = |line: Bytes, _| match Message::parse(&line) {
-        Ok(message) => {
-            Ok(LineOutcome::Event(ConnectionEvent::Gateway(Event::UpstreamMessage(upstream, message))))
-        }
+        Ok(message) => Ok(LineOutcome::Event(Event::UpstreamMessage(upstream, message))),
         Err(error) => {
             info!(trunk = upstream.0, %address, %error, "malformed line from a media node; closing the connection");
             Err(MalformedLine)
@@ -91,7 +88,7 @@
     commands.close();
     while let Ok(command) = commands.try_recv() {
         if let ConnectionCommand::SendLine(line) = command {
-            unwritten.push(line);
+            unwritten.push(line.into_bytes());
         }
     }
     drop(descriptor);
--- a/crates/platform/src/gateway.rs
+++ b/crates/platform/src/gateway.rs
@@ -24,6 +24,7 @@
 use tracing::{debug, trace, warn};
 
 use crate::bus::{DiscoveryUpdate, node_id};
+use crate::byte_budget::{ByteAccount, ByteBudget, ByteReservation};
 use crate::causes;
 use crate::config::Config;
 use crate::early_ends::{EarlyEnd, EarlyEnds};
@@ -166,8 +167,8 @@
     /// The connection on which the session was requested.
     pub downstream: DownstreamId,
     pub client: IpAddr,
-    /// Contents of the session's SETUPs; `None` once it plays.
-    pub request: Option<Box<SetupRequest>>,
+    /// Contents of the session's SETUPs; `None` once it is answered or plays.
+    pub request: Option<Box<HeldRequest>>,
     pub attempt: Option<Attempt>,
     /// At least one SETUP has been sent, so the session may have started at a node.
     pub setup_sent: bool,
@@ -179,6 +180,12 @@
     pub answered: bool,
 }
 
+/// A valid SETUP request that needs an answer, with the bytes that it holds.
+pub(crate) struct HeldRequest {
+    pub request: SetupRequest,
+    _bytes: ByteReservation,
+}
+
 /// A viewer's connection.
 struct DownstreamConnection {
     client: IpAddr,
@@ -190,6 +197,8 @@
     had_requests: bool,
     /// Number of SETUP requests that are still queued.
     queued_setups: usize,
+    /// The bytes of the requests that were received here and have no answer.
+    request_bytes: ByteAccount,
     /// Sessions that have no answer yet.
     pending: BTreeSet<SessionId>,
     /// Number of playing sessions that were requested here.
@@ -222,6 +231,7 @@
     downstream: DownstreamId,
     tag: Tag,
     message: Message,
+    bytes: ByteReservation,
 }
 
 /// A release that a client must get.
@@ -247,6 +257,8 @@
     pub(crate) session_by_tag: BTreeMap<Tag, SessionId>,
     next_session: u64,
     setup_queue: VecDeque<QueuedSetup>,
+    /// The bytes of all requests that have no answer.
+    request_bytes: ByteBudget,
     downstreams: BTreeMap<DownstreamId, DownstreamConnection>,
     /// Descriptors available to connections of viewers and of nodes.
     descriptor_limits: [usize; 2],
@@ -293,6 +305,7 @@
             session_by_tag: BTreeMap::new(),
             next_session: 0,
             setup_queue: VecDeque::new(),
+            request_bytes: ByteBudget::new(limits.request_bytes),
             downstreams: BTreeMap::new(),
             descriptor_limits: [descriptors.div_ceil(2), descriptors / 2],
             release_notices: VecDeque::new(),
@@ -317,9 +330,9 @@
         self.engine.as_ref().map(Engine::tally)
     }
 
-    /// Returns the maximum number of lines that may be queued on one connection.
-    pub fn max_queued_lines(&self) -> usize {
-        self.limits.queued_lines
+    /// Returns the limits on what other parties can make grow.
+    pub fn resource_limits(&self) -> &ResourceLimits {
+        &self.limits
     }
 
     /// Returns the maximum numbers of descriptors for connections of viewers and of nodes, including
@@ -466,6 +479,7 @@
             useful: false,
             had_requests: false,
             queued_setups: 0,
+            request_bytes: self.request_bytes.open_account(),
             pending: BTreeSet::new(),
             playing: 0,
             closing: false,
@@ -611,11 +625,9 @@
     fn queue_setup(&mut self, now: Instant, downstream: DownstreamId, tag: Tag, message: Message) {
         let Some(connection) = self.downstreams.get_mut(&downstream) else { return };
         connection.had_requests = true;
-        let setup = QueuedSetup { received_at: now, downstream, tag, message };
-        if setup_request::is_handover(&setup.message) {
+        if setup_request::is_handover(&message) {
             // No one waits for an answer, and the engine must know of all handovers in its first round.
-            connection.queued_setups += 1;
-            return self.handle_setup(now, setup);
+            return self.handle_handover(now, downstream, tag, &message);
         }
         if self.shutdown.is_some_and(|shutdown| !shutdown.serves(now))
             || connection.pending.len() + connection.queued_setups >= self.limits.pending_setups
@@ -623,8 +635,17 @@
         {
             return self.refuse(downstream, tag, causes::CONGESTION);
         }
+        let Some(bytes) = connection.request_bytes.reserve(message.text_bytes()) else {
+            debug!(
+                link = downstream.0,
+                used = self.request_bytes.used(),
+                limit = self.limits.request_bytes,
+                "the requests without an answer hold too many bytes"
+            );
+            return self.refuse(downstream, tag, causes::CONGESTION);
+        };
         connection.queued_setups += 1;
-        self.setup_queue.push_back(setup);
+        self.setup_queue.push_back(QueuedSetup { received_at: now, downstream, tag, message, bytes });
     }
 
     /// Removes the queued SETUP requests with this tag, which their viewer has cancelled.
@@ -637,30 +658,45 @@
         self.setup_queue.retain(|setup| setup.tag != tag);
     }
 
+    /// Parses a request. Refuses it and returns `None` if it is invalid.
+    fn parse_request(
+        &mut self,
+        downstream: DownstreamId,
+        tag: Tag,
+        message: &Message,
+    ) -> Option<SetupRequest> {
+        match setup_request::parse(message, &self.site) {
+            Ok(request) => Some(request),
+            Err(error) => {
+                debug!(%tag, trouble = %error, "refused an invalid SETUP request");
+                self.refuse(downstream, tag, causes::INVALID_REQUEST);
+                None
+            }
+        }
+    }
+
+    fn handle_handover(&mut self, now: Instant, downstream: DownstreamId, tag: Tag, message: &Message) {
+        let Some(request) = self.parse_request(downstream, tag, message) else { return };
+        self.schedule_engine_start(now);
+        if let Some(name) = &request.playing_node
+            && !self.session_by_tag.contains_key(&tag)
+        {
+            self.adopt_session(now, downstream, tag, &request, name);
+        }
+    }
+
     fn handle_setup(
         &mut self,
         now: Instant,
-        QueuedSetup { received_at, downstream, tag, message }: QueuedSetup,
+        QueuedSetup { received_at, downstream, tag, message, bytes }: QueuedSetup,
     ) {
         if let Some(connection) = self.downstreams.get_mut(&downstream) {
             connection.queued_setups -= 1;
         }
-        let request = match setup_request::parse(&message, &self.site) {
-            Ok(request) => request,
-            Err(error) => {
-                debug!(%tag, trouble = %error, "refused an invalid SETUP request");
-                return self.refuse(downstream, tag, causes::INVALID_REQUEST);
-            }
-        };
+        let Some(request) = self.parse_request(downstream, tag, &message) else { return };
+        drop(message);
         self.schedule_engine_start(now);
-        let existing = self.session_by_tag.get(&tag).copied();
-        if let Some(name) = &request.playing_node {
-            if existing.is_none() {
-                self.adopt_session(now, downstream, tag, &request, name);
-            }
-            return;
-        }
-        if let Some(session) = existing {
+        if let Some(session) = self.session_by_tag.get(&tag).copied() {
             self.refuse(downstream, tag, causes::INVALID_REQUEST);
             // On one connection, the answers to two requests with one tag can't be told apart: neither is
             // served.
@@ -679,7 +715,8 @@
             // Too late for a SETUP; none has been sent.
             return self.refuse(downstream, tag, causes::CONGESTION);
         }
-        let Some(session) = self.create_session(now, downstream, tag, Some(Box::new(request)), None) else {
+        let held_request = Box::new(HeldRequest { request, _bytes: bytes });
+        let Some(session) = self.create_session(now, downstream, tag, Some(held_request), None) else {
             return;
         };
         self.inputs.push(Input::SessionRequested { session, request: viewer_request });
@@ -691,7 +728,7 @@
         now: Instant,
         downstream: DownstreamId,
         tag: Tag,
-        request: Option<Box<SetupRequest>>,
+        request: Option<Box<HeldRequest>>,
         playing_at: Option<(NodeId, Instant)>,
     ) -> Option<SessionId> {
         let connection = self.downstreams.get_mut(&downstream)?;
@@ -770,7 +807,7 @@
     fn viewer_left(&mut self, session: SessionId) {
         let Some(state) = self.sessions.get_mut(&session) else { return };
         debug!(tag = %state.tag, answered = state.answered, "viewer left or ended its session");
-        state.answered = true;
+        (state.answered, state.request) = (true, None);
         let downstream = state.downstream;
         if let Some(connection) = self.downstreams.get_mut(&downstream) {
             connection.pending.remove(&session);
@@ -783,7 +820,7 @@
     /// Sends the one answer to the session's request.
     fn send_answer(&mut self, now: Instant, session: SessionId, answer: SessionResponse) {
         let Some(state) = self.sessions.get_mut(&session) else { return };
-        state.answered = true;
+        (state.answered, state.request) = (true, None);
         let (tag, downstream) = (state.tag, state.downstream);
         let plays = matches!(answer, SessionResponse::Plays { .. });
         let description = state.description.take();
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -7,6 +7,7 @@
 //! is open there.
 
 pub mod bus;
+pub mod byte_budget;
 pub mod causes;
 pub mod config;
 mod early_ends;
@@ -18,12 +19,15 @@
 pub mod setup_request;
 mod upstream;
 
+pub use byte_budget::{ByteAccount, ByteBudget, ByteReservation};
 pub use config::Config;
 pub use gateway::{Action, CloseReason, DownstreamId, Event, Gateway, OpenWork, UpstreamId};
 pub use line_decoder::LineDecoder;
 pub use message::{Message, Tag, Verb};
 pub use resource_limits::ResourceLimits;
 
+#[cfg(test)]
+mod byte_budget_tests;
 #[cfg(test)]
 mod equivalence_tests;
 #[cfg(test)]
--- a/crates/platform/src/message.rs
+++ b/crates/platform/src/message.rs
@@ -75,7 +75,11 @@
     Rate,
 }
 
-/// The named fields of a message, as text. Numbers keep their digits.
+/// Names of the fields that are used. Others are checked and dropped, so that a message needs no more memory
+/// than its line.
+const FIELD_NAMES: [&str; 8] = ["class", "extras", "key", "left", "load", "note", "tenant", "value"];
+
+/// The named fields of a message that are used, as text. Numbers keep their digits.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Opts(BTreeMap<String, String>);
 
@@ -114,6 +118,7 @@
                     }
                     fields.insert(name, value.0);
                 }
+                fields.retain(|name, _| FIELD_NAMES.contains(&name.as_str()));
                 Ok(Opts(fields))
             }
         }
@@ -187,6 +192,14 @@
     }
 }
 
+impl Message {
+    /// Returns the number of bytes of the message's texts.
+    pub fn text_bytes(&self) -> usize {
+        self.opts.0.values().map(String::len).sum::<usize>()
+            + self.description.as_ref().map_or(0, String::len)
+    }
+}
+
 /// The JSON object of an outgoing message.
 #[derive(Serialize)]
 struct OutgoingMessage<'a> {
--- a/crates/platform/src/resource_limits.rs
+++ b/crates/platform/src/resource_limits.rs
@@ -1,6 +1,11 @@
 //! Limits on state that other parties can make grow. None of them limits the fleet: lists of directors and of
 //! media nodes may have any length. Limits on per-session state follow the memory limit, as each session has
 //! at most one entry of each kind. Memory is allocated as it is needed, not in advance.
+//!
+//! Messages may be 16 KiB long, a hundred times their usual length, so what holds messages is limited in bytes
+//! as well: at most seven sixteenths of the memory limit in all.
+
+use crate::line_decoder::MAX_LINE_BYTES;
 
 /// Number of sessions for each MB of memory.
 const SESSIONS_PER_MB: f64 = 100.0;
@@ -10,6 +15,15 @@
 /// Lower bound of the limits, however little memory there is: a front that carries this many viewers on one
 /// connection is served as far as there is room.
 const MIN_LIMIT: usize = 1024;
+/// Bytes in one MB of the memory limit.
+const BYTES_PER_MB: f64 = 1_000_000.0;
+/// Parts of the memory limit that may be used for the texts of requests without an answer, for messages that
+/// have been received and not processed, and for lines that are queued in each direction.
+const REQUEST_BYTES_DIVISOR: f64 = 8.0;
+const RECEIVED_BYTES_DIVISOR: f64 = 16.0;
+const LINE_BYTES_DIVISOR: f64 = 8.0;
+/// Lower bound of the limits on bytes, however little memory there is: a few messages of any length.
+const MIN_BYTES: usize = 8 * MAX_LINE_BYTES;
 
 /// Maximum numbers of entries that a director holds.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -25,6 +39,13 @@
     /// Lines queued on one connection: an answer or a release for each session, and as many lines that belong
     /// to no session. All of them may be queued at once, for example when a zone is lost.
     pub queued_lines: usize,
+    /// Bytes of the texts of SETUP requests that have no answer.
+    pub request_bytes: usize,
+    /// Bytes of messages that have been received and not processed.
+    pub received_bytes: usize,
+    /// Bytes of the lines queued for viewers, and as many for nodes. Lines that are received in part have the
+    /// same limit.
+    pub line_bytes: usize,
 }
 
 impl ResourceLimits {
@@ -32,11 +53,15 @@
     pub fn of(memory_mb: f64) -> ResourceLimits {
         let sessions = (memory_mb * SESSIONS_PER_MB) as usize;
         let outstanding = sessions.max(MIN_LIMIT);
+        let bytes = |divisor: f64| ((memory_mb * BYTES_PER_MB / divisor) as usize).max(MIN_BYTES);
         ResourceLimits {
             sessions,
             pending_setups: (sessions / MAX_PENDING_DIVISOR).max(MIN_LIMIT),
             outstanding,
             queued_lines: outstanding * 2,
+            request_bytes: bytes(REQUEST_BYTES_DIVISOR),
+            received_bytes: bytes(RECEIVED_BYTES_DIVISOR),
+            line_bytes: bytes(LINE_BYTES_DIVISOR),
         }
     }
 }
--- a/crates/platform/src/upstream.rs
+++ b/crates/platform/src/upstream.rs
@@ -21,7 +21,7 @@
 
 use crate::causes;
 use crate::early_ends::EarlyEnd;
-use crate::gateway::{Action, Attempt, CloseReason, Gateway, UpstreamId};
+use crate::gateway::{Action, Attempt, CloseReason, Gateway, HeldRequest, UpstreamId};
 use crate::message::{self, Message, Tag, Verb, parse_finite};
 
 /// Time without a message after which a node with playing sessions is checked. With the timeouts below, the
@@ -489,9 +489,10 @@
     /// Sends the SETUP of the session's attempt. From here on the session may start at the node.
     fn send_setup(&mut self, now: Instant, session: SessionId, upstream: UpstreamId) {
         let Some(state) = self.sessions.get_mut(&session) else { return };
-        let (Some(attempt), Some(request)) = (state.attempt.as_mut(), state.request.as_ref()) else { return };
+        let Some(attempt) = state.attempt.as_mut() else { return };
         let setup = attempt.setup;
-        if state.answered || now >= attempt.deadline {
+        let waiting_request = state.request.as_ref().filter(|_| !state.answered && now < attempt.deadline);
+        let Some(HeldRequest { request, .. }) = waiting_request.map(Box::as_ref) else {
             // No one waits for it any longer.
             state.attempt = None;
             self.inputs.push(Input::SetupFailed {
@@ -501,7 +502,7 @@
                 load: None,
             });
             return self.remove_if_finished(session);
-        }
+        };
         let (rung, left_ms) =
             (attempt.rung.0.to_string(), (attempt.deadline - now).as_ms().floor().max(1.0).to_string());
         let opts = [
