Answers: a session that ends before its answer is sent is answered first, then released

What callers saw: a node's answer and the release of the same session reach the director together (a cut of the path, a pause of the process).

Cause: Gateway::end_session wrote the release when the node's line was handled, while the answer is an effect of the engine's next round (Gateway::send_answer), which is played after all lines of the call. send_answer didn't look at whether the session still played, and counted it among those of its connection; nothing counted it down, so the connection was never closed as idle.

Ruled out: the engine, which puts Respond before the end in its effects; the connection's task, which keeps the order of its lines; the RTSP and HLS shells, where one task writes the answer and submits the end (by reading). The node's trace has answer and release in order, 0.4 s apart, and both are read in one batch at the end of the cut.

Change: an end before the answer keeps its release at the session, and send_answer sends it behind the answer; behind a refusal there is none, as the viewer knows no session. The playing sessions of a connection are a set in place of a count, so that removing one twice can't touch another. An answer for a request that its viewer has cancelled or left in the same call is not sent.

--- a/crates/platform/src/gateway.rs
+++ b/crates/platform/src/gateway.rs
@@ -178,6 +178,8 @@
     pub description: Option<String>,
     /// The answer has been sent, or no one waits for one.
     pub answered: bool,
+    /// The release of a session that has ended before its answer was sent: the viewer gets it after the answer.
+    release_after_answer: Option<Bytes>,
 }
 
 /// A valid SETUP request that needs an answer, with the bytes that it holds.
@@ -201,8 +203,8 @@
     request_bytes: ByteAccount,
     /// Sessions that have no answer yet.
     pending: BTreeSet<SessionId>,
-    /// Number of playing sessions that were requested here.
-    playing: usize,
+    /// Sessions that were requested here, and that play for their viewers.
+    playing: BTreeSet<SessionId>,
     /// A close has been requested, which an incoming message cancels.
     closing: bool,
 }
@@ -213,7 +215,7 @@
         if self.queued_setups > 0 || !self.pending.is_empty() {
             return ConnectionUse::OpenRequests;
         }
-        if self.playing > 0 {
+        if !self.playing.is_empty() {
             return ConnectionUse::PlayingSessions;
         }
         ConnectionUse::Unused { opened_at: self.opened_at, had_requests: self.had_requests }
@@ -221,7 +223,7 @@
 
     /// Returns whether the connection carries no request and no playing session.
     fn is_unused(&self) -> bool {
-        self.queued_setups == 0 && self.pending.is_empty() && self.playing == 0
+        self.queued_setups == 0 && self.pending.is_empty() && self.playing.is_empty()
     }
 }
 
@@ -481,7 +483,7 @@
             queued_setups: 0,
             request_bytes: self.request_bytes.open_account(),
             pending: BTreeSet::new(),
-            playing: 0,
+            playing: BTreeSet::new(),
             closing: false,
         };
         self.downstreams.insert(downstream, connection);
@@ -735,11 +737,8 @@
         let (session, client, answered) =
             (SessionId(self.next_session), connection.client, playing_at.is_some());
         self.next_session += 1;
-        if answered {
-            connection.playing += 1;
-        } else {
-            connection.pending.insert(session);
-        }
+        let sessions = if answered { &mut connection.playing } else { &mut connection.pending };
+        sessions.insert(session);
         self.mark_useful(now, downstream);
         let state = SessionState {
             tag,
@@ -751,6 +750,7 @@
             playing_at,
             description: None,
             answered,
+            release_after_answer: None,
         };
         self.sessions.insert(session, state);
         self.session_by_tag.insert(tag, session);
@@ -817,12 +817,19 @@
         self.remove_if_finished(session);
     }
 
-    /// Sends the one answer to the session's request.
+    /// Sends the one answer to the session's request, and the release if the session has ended meanwhile.
     fn send_answer(&mut self, now: Instant, session: SessionId, answer: SessionResponse) {
         let Some(state) = self.sessions.get_mut(&session) else { return };
-        (state.answered, state.request) = (true, None);
-        let (tag, downstream) = (state.tag, state.downstream);
+        if std::mem::replace(&mut state.answered, true) {
+            // The viewer has left in the same call, so that no answer is owed.
+            return self.remove_if_finished(session);
+        }
+        state.request = None;
+        let (tag, client, downstream) = (state.tag, state.client, state.downstream);
         let plays = matches!(answer, SessionResponse::Plays { .. });
+        let still_plays = plays && state.playing_at.is_some();
+        // A viewer that is refused knows of no session that could be released.
+        let release = state.release_after_answer.take().filter(|_| plays);
         let description = state.description.take();
         let line = match &description {
             Some(text) if plays => message::encode(Verb::Started, tag, &[], None, Some(text)),
@@ -834,11 +841,14 @@
         if let Some(connection) = self.downstreams.get_mut(&downstream) {
             connection.pending.remove(&session);
             connection.idle_since = now;
-            connection.playing += usize::from(plays);
+            connection.playing.extend(still_plays.then_some(session));
         }
         let draining_ms = self.draining_ms(now);
         debug!(%tag, link = downstream.0, ?answer, draining_ms, "request answered");
         self.actions.extend(line.map(|line| Action::SendDownstream(downstream, line)));
+        if let Some(release) = release {
+            self.send_release_notice(now, client, Some(downstream), release);
+        }
         self.remove_if_finished(session);
     }
 
@@ -884,7 +894,7 @@
     }
 
     /// Ends a playing session: sends a release to its viewer, if `notify_viewer`, and removes the session's
-    /// state.
+    /// state. If the viewer has no answer yet, both wait for the answer.
     pub(crate) fn end_session(
         &mut self,
         now: Instant,
@@ -893,12 +903,15 @@
         notify_viewer: bool,
     ) {
         self.inputs.push(Input::SessionEnded { session, outcome });
-        let Some(state) = self.sessions.get(&session) else { return };
-        let (tag, client, downstream) = (state.tag, state.client, state.downstream);
-        debug!(%tag, ?outcome, notify_viewer, "playing session ended");
-        let line = message::encode(Verb::Finish, tag, &[], Some(causes::release_cause(outcome)), None);
-        if let Some(line) = line.filter(|_| notify_viewer) {
-            self.send_release_notice(now, client, Some(downstream), line);
+        let Some(state) = self.sessions.get_mut(&session) else { return };
+        let (tag, client, downstream, answered) = (state.tag, state.client, state.downstream, state.answered);
+        debug!(%tag, ?outcome, notify_viewer, answered, "playing session ended");
+        let line = message::encode(Verb::Finish, tag, &[], Some(causes::release_cause(outcome)), None)
+            .filter(|_| notify_viewer);
+        match line {
+            Some(line) if answered => self.send_release_notice(now, client, Some(downstream), line),
+            // The answer is an effect of the engine's next round.
+            line => state.release_after_answer = line,
         }
         self.clear_playing(session);
         self.remove_if_finished(session);
@@ -912,7 +925,7 @@
             node_state.playing.remove(&session);
         }
         if let Some(connection) = self.downstreams.get_mut(&state.downstream) {
-            connection.playing = connection.playing.saturating_sub(1);
+            connection.playing.remove(&session);
         }
     }
 
--- a/crates/platform/src/session_end_tests.rs
+++ b/crates/platform/src/session_end_tests.rs
@@ -3,6 +3,7 @@
 use expect_test::expect;
 
 use crate::tests::Harness;
+use crate::{DownstreamId, Event, Message};
 
 fn handover_line(tag: u64, node: &str) -> String {
     format!(
@@ -128,3 +129,67 @@
         viewer 1 < {"verb":"FINISH","tag":"01","opts":{},"rc":41}
     "#]]);
 }
+
+/// A node's answer to the SETUP of session 1, which waits on the connection `c1`.
+fn started() -> (&'static str, u64, &'static str) {
+    ("STARTED", 0x01, r#","opts":{},"blob":"m=1""#)
+}
+
+/// Requests session 1 and passes these lines of its node to the gateway in one call.
+fn answer_with(harness: &mut Harness, lines: &[(&str, u64, &str)]) {
+    harness.node_connected("a0").viewer_connects(1).request_session(1, 0x01).node_connected("c1");
+    harness.take_trace();
+    harness.node_sends_all("c1", lines);
+}
+
+/// Guards against an answer that follows the release of its own session, so that the session stands for its
+/// viewer for good.
+#[test]
+fn a_session_that_ends_together_with_its_answer_is_answered_first() {
+    let mut harness = Harness::started();
+    answer_with(&mut harness, &[started(), ("FINISH", 0x01, r#","opts":{},"rc":16"#)]);
+    harness.expect_trace(expect![[r#"
+        viewer 1 < {"verb":"STARTED","tag":"01","opts":{},"blob":"m=1"}
+        viewer 1 < {"verb":"FINISH","tag":"01","opts":{},"rc":16}
+    "#]]);
+}
+
+/// Guards against the same for a session that its node interrupts, and for one that ends because its node refuses
+/// connections.
+#[test]
+fn a_session_that_is_lost_together_with_its_answer_is_answered_first() {
+    let mut harness = Harness::started();
+    answer_with(&mut harness, &[started(), ("FINISH", 0x01, r#","opts":{},"rc":41"#)]);
+    harness.expect_trace(expect![[r#"
+        viewer 1 < {"verb":"STARTED","tag":"01","opts":{},"blob":"m=1"}
+        viewer 1 < {"verb":"FINISH","tag":"01","opts":{},"rc":41}
+    "#]]);
+}
+
+/// Guards against a viewer's connection that is never closed as idle, because it counts a session that ended
+/// before its answer was sent.
+#[test]
+fn a_session_that_ends_together_with_its_answer_does_not_keep_its_connection_open() {
+    let mut harness = Harness::started();
+    answer_with(&mut harness, &[started(), ("FINISH", 0x01, r#","opts":{},"rc":16"#)]);
+    harness.take_trace();
+    harness.advance(5400.0);
+    let trace = harness.take_trace();
+    assert!(trace.contains("viewer 1 closed"), "{trace}");
+}
+
+/// Guards against an answer to a viewer that has cancelled its request in the same call.
+#[test]
+fn a_request_that_is_cancelled_together_with_its_answer_is_not_answered() {
+    let mut harness = Harness::started();
+    answer_with(&mut harness, &[]);
+    let (verb, tag, rest) = started();
+    let cancellation = br#"{"verb":"FINISH","tag":"0000000000000001","opts":{},"rc":16}"#;
+    let events = [
+        harness.node_message("c1", verb, tag, rest),
+        Event::DownstreamMessage(DownstreamId(1), Message::parse(cancellation).unwrap()),
+    ];
+    harness.process(events).expect_trace(expect![[r#"
+        node c1 < {"verb":"FINISH","tag":"01","opts":{},"rc":16}
+    "#]]);
+}
--- a/crates/platform/src/tests.rs
+++ b/crates/platform/src/tests.rs
@@ -154,9 +154,20 @@
 
     /// Delivers a message of a node; `rest` holds the JSON fields after the tag.
     pub fn node_sends(&mut self, name: &str, verb: &str, tag: u64, rest: &str) -> &mut Harness {
+        self.node_sends_all(name, &[(verb, tag, rest)])
+    }
+
+    /// Delivers several messages of a node in one call.
+    pub fn node_sends_all(&mut self, name: &str, messages: &[(&str, u64, &str)]) -> &mut Harness {
+        let events: Vec<Event> =
+            messages.iter().map(|(verb, tag, rest)| self.node_message(name, verb, *tag, rest)).collect();
+        self.process(events)
+    }
+
+    /// Returns the event of a node's message; `rest` holds the JSON fields after the tag.
+    pub fn node_message(&self, name: &str, verb: &str, tag: u64, rest: &str) -> Event {
         let line = format!(r#"{{"verb":"{verb}","tag":"{tag:016x}"{rest}}}"#);
-        let event = Event::UpstreamMessage(self.upstream(name), Message::parse(line.as_bytes()).unwrap());
-        self.process([event])
+        Event::UpstreamMessage(self.upstream(name), Message::parse(line.as_bytes()).unwrap())
     }
 
     /// Delivers the events of a batch that follow the one numbered `last_offset`.
