Removed nodes: only sessions whose process a connection leads to go on

What callers saw: a machine vanishes and a new node takes its address before the list tells.

Cause: node_removed kept all sessions of a node if any of its connections had carried a message about a session (carried_session), which the answer to a SETUP that was sent on that very connection set too. Such an answer shows that some process listens at the address, and nothing of sessions that are older than the connection.

Ruled out: the bus (the event was read within 0.1 ms of being told), the health check (it passes at the new node, but the sessions should have ended at the removal, before it was due), the release's way to the viewer (no release was made).

Change: each connection leads to one process, and a session belongs to the process of the connection on which it was set up (process_identity.rs). A later connection is the same process only once a message about an older session has come on it that no other process can have sent (a notice, or an end with another cause than 41; a confirmed release shows nothing). When a node is removed, and whenever a connection of a removed node ends, the sessions of processes that no open connection leads to are over. Sessions handed over from another director and not named since count so as well. Which connections are dropped at a removal is as before.

Two kept traces change: the end of a session of a removed node is told at once, not with the next check 149 ms later.

--- a/crates/platform/src/gateway.rs
+++ b/crates/platform/src/gateway.rs
@@ -32,7 +32,7 @@
 use crate::orphaned_releases::OrphanedReleases;
 use crate::resource_limits::ResourceLimits;
 use crate::setup_request::{self, SetupRequest};
-use crate::upstream::{NodeState, UpstreamConnection};
+use crate::upstream::{NodeState, ProcessId, UpstreamConnection};
 
 pub use planned_shutdown::OpenWork;
 
@@ -174,6 +174,9 @@
     pub setup_sent: bool,
     /// The node where the session plays, and since when.
     pub playing_at: Option<(NodeId, Instant)>,
+    /// The process of the node at which the session plays; `None` if the session was handed over and the node has
+    /// not named it since.
+    pub process: Option<ProcessId>,
     /// Session description of the node's answer, until it is forwarded.
     pub description: Option<String>,
     /// The answer has been sent, or no one waits for one.
@@ -748,6 +751,7 @@
             attempt: None,
             setup_sent: false,
             playing_at,
+            process: None,
             description: None,
             answered,
             release_after_answer: None,
--- a/crates/platform/src/session_end_tests.rs
+++ b/crates/platform/src/session_end_tests.rs
@@ -2,7 +2,7 @@
 
 use expect_test::expect;
 
-use crate::tests::Harness;
+use crate::tests::{Harness, request_from_one_node};
 use crate::{DownstreamId, Event, Message};
 
 fn handover_line(tag: u64, node: &str) -> String {
@@ -66,6 +66,75 @@
     "#]]);
 }
 
+/// Sets up sessions 1 and 2 at the node `c`, loses their connection, and sets up session 3 on the next one, `c2`.
+fn set_up_around_a_lost_connection(harness: &mut Harness) {
+    harness.node_connected("a0").viewer_connects(1);
+    request_from_one_node(harness, 1..3).node_connected("c1");
+    for tag in [0x01, 0x02] {
+        harness.node_sends("c1", "STARTED", tag, r#","opts":{},"blob":"m=1""#);
+    }
+    harness.advance(600.0).node_disconnected("c1", crate::CloseReason::Lost).node_connected("c2");
+    request_from_one_node(harness, 3..4).node_sends("c2", "STARTED", 0x03, r#","opts":{},"blob":"m=1""#);
+    harness.take_trace();
+}
+
+/// Publishes that the node `c` is removed and that `d` has its address.
+fn replace_node(harness: &mut Harness) {
+    let endpoint = |name: &str, status: &str| {
+        format!(
+            r#"{{"name":"{name}","address":"10.0.0.3:80","zone":"east","type":"std","group":2,"status":"{status}","weight":4}}"#
+        )
+    };
+    publish(harness, 2, &format!("{},{}", endpoint("c", "removed"), endpoint("d", "up")));
+}
+
+/// Guards against sessions that stand for their viewers for good, because the node that has taken the address of
+/// theirs has answered a SETUP that was meant for it.
+#[test]
+fn sessions_of_a_removed_node_end_though_its_successor_has_answered_a_setup() {
+    let mut harness = Harness::started();
+    set_up_around_a_lost_connection(&mut harness);
+    replace_node(&mut harness);
+    harness.expect_trace(expect![[r#"
+        node c2 < {"verb":"FINISH","tag":"01","opts":{},"rc":16}
+        node c2 < {"verb":"FINISH","tag":"02","opts":{},"rc":16}
+        viewer 1 < {"verb":"FINISH","tag":"01","opts":{},"rc":41}
+        viewer 1 < {"verb":"FINISH","tag":"02","opts":{},"rc":41}
+    "#]]);
+    // The session that was set up on the open connection goes on until that ends.
+    harness.node_sends("c2", "FINISH", 0x03, r#","opts":{},"rc":16"#).expect_trace(expect![[r#"
+        viewer 1 < {"verb":"FINISH","tag":"03","opts":{},"rc":16}
+    "#]]);
+}
+
+/// Guards against playing sessions of a removed node that are cut, although the node has named one of them on its
+/// new connection.
+#[test]
+fn sessions_of_a_removed_node_go_on_if_it_has_named_one_of_them() {
+    let mut harness = Harness::started();
+    set_up_around_a_lost_connection(&mut harness);
+    harness.node_sends("c2", "NOTICE", 0x01, r#","opts":{"note":"d","value":1}"#).take_trace();
+    replace_node(&mut harness);
+    harness.expect_trace(expect![[r#""#]]);
+    harness.node_disconnected("c2", crate::CloseReason::Lost).expect_trace(expect![[r#"
+        viewer 1 < {"verb":"FINISH","tag":"01","opts":{},"rc":41}
+        viewer 1 < {"verb":"FINISH","tag":"02","opts":{},"rc":41}
+        viewer 1 < {"verb":"FINISH","tag":"03","opts":{},"rc":41}
+    "#]]);
+}
+
+/// Guards against a session that stands for its viewer although a message about it came from a process that doesn't
+/// know it: any node confirms a release, or reports a session as interrupted.
+#[test]
+fn a_confirmed_release_does_not_keep_sessions_of_a_removed_node() {
+    let mut harness = Harness::started();
+    set_up_around_a_lost_connection(&mut harness);
+    harness.node_sends("c2", "FINISHED", 0x01, "").take_trace();
+    replace_node(&mut harness);
+    let trace = harness.take_trace();
+    assert!(trace.contains(r#"viewer 1 < {"verb":"FINISH","tag":"02""#), "{trace}");
+}
+
 /// Guards against a session at an unknown node that stands for its viewer until a line that is queued for that
 /// node expires.
 #[test]
--- a/crates/platform/src/tests.rs
+++ b/crates/platform/src/tests.rs
@@ -461,14 +461,13 @@
         .node_disconnected("c1", CloseReason::Lost);
     harness.advance(300.0).expect_trace(expect![[r#"
         node c1 < {"verb":"RATE","tag":"01","opts":{"rung":"1"}}
-        after 149 ms:
         viewer 1 < {"verb":"FINISH","tag":"01","opts":{},"rc":41}
     "#]]);
 }
 
 /// Sends SETUP requests, one for each tag, for a title that only node `c` holds. In slow start, the node gets
 /// only some of them.
-fn request_from_one_node(harness: &mut Harness, tags: std::ops::Range<u64>) -> &mut Harness {
+pub fn request_from_one_node(harness: &mut Harness, tags: std::ops::Range<u64>) -> &mut Harness {
     for tag in tags {
         harness.viewer_sends(1, &setup_line(tag, "home:2;copies:1;top:0", "v=0"));
     }
@@ -771,9 +770,8 @@
     harness
         .publish(&format!(r#"{{"offset":2,"batch":[{{"offset":2,"topology":{{"endpoints":[{c}]}}}}]}}"#), 1);
     harness.node_disconnected("c1", CloseReason::Lost).advance(4000.0).expect_trace(expect![[r#"
-        viewer 1 < {"verb":"FINISH","tag":"02","opts":{},"rc":34}
-        after 149 ms:
         viewer 1 < {"verb":"FINISH","tag":"01","opts":{},"rc":41}
+        viewer 1 < {"verb":"FINISH","tag":"02","opts":{},"rc":34}
         after 399 ms:
         connect a2
         after 1149 ms:
--- a/crates/platform/src/upstream.rs
+++ b/crates/platform/src/upstream.rs
@@ -8,6 +8,7 @@
 
 mod checks;
 mod discovery;
+mod process_identity;
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::SocketAddr;
@@ -24,6 +25,8 @@
 use crate::gateway::{Action, Attempt, CloseReason, Gateway, HeldRequest, UpstreamId};
 use crate::message::{self, Message, Tag, Verb, parse_finite};
 
+pub(crate) use process_identity::ProcessId;
+
 /// Time without a message after which a node with playing sessions is checked. With the timeouts below, the
 /// viewers of sessions that were lost without notice get their release within the 8 s that the protocol
 /// allows.
@@ -115,7 +118,9 @@
     last_heard_at: Instant,
     /// The connection was established at once after another one was lost shortly after a message.
     resumes: bool,
-    /// The node has sent a message about a session here, so its process is the one that the sessions know.
+    /// The process that the connection leads to.
+    process: ProcessId,
+    /// A message about a session has been received here, so that the connection is in use.
     carried_session: bool,
     /// Sessions whose SETUP was sent here and has no answer.
     pending: BTreeSet<SessionId>,
@@ -196,6 +201,10 @@
         if let Some(connection) = self.upstreams.get_mut(&upstream).filter(|_| names_session) {
             connection.carried_session = true;
         }
+        if let Some(session) = session.filter(|_| plays_here) {
+            self.identify_process(upstream, session, &message);
+        }
+        let state = session.and_then(|session| self.sessions.get(&session));
         // After a restart, nothing could be received on a connection, or about a session, that is older than
         // the suspicion. A release without a cause, or with the cause for interrupted sessions, does not
         // count for its session.
@@ -205,11 +214,9 @@
             .and_then(|state| state.playing_at)
             .filter(|_| plays_here && !interrupted)
             .map(|(_, since)| since);
-        let (created_at, resumes) = self
-            .upstreams
-            .get(&upstream)
-            .map(|connection| (connection.created_at, connection.resumes))
-            .unzip();
+        let connection = self.upstreams.get(&upstream);
+        let (created_at, resumes) = connection.map(|c| (c.created_at, c.resumes)).unzip();
+        let process = connection.map(|c| c.process);
         if let Some(node_state) = self.nodes.get_mut(&node).filter(|_| !failed_check)
             && let Some(suspected_at) = node_state.restart_suspected_at
             && (resumes == Some(true)
@@ -227,8 +234,8 @@
                 let Some(setup) = attempt else { return };
                 self.clear_attempt(session);
                 if let Some(state) = self.sessions.get_mut(&session) {
-                    (state.playing_at, state.description, state.request) =
-                        (Some((node, now)), Some(text), None);
+                    (state.playing_at, state.process) = (Some((node, now)), process);
+                    (state.description, state.request) = (Some(text), None);
                 }
                 self.session_plays(now, session, node);
                 self.inputs.push(Input::SetupAccepted { session, setup, load });
@@ -372,6 +379,10 @@
             self.end_lost_sessions(now, node, connection.created_at);
         }
         self.fail_waiting(node, reason);
+        if self.nodes.get(&node).is_some_and(|node_state| node_state.removed) {
+            // Nobody else reports the end of sessions that only this connection led to.
+            self.release_unreachable_sessions(now, node);
+        }
         let Some(node_state) = self.nodes.get(&node) else { return };
         let has_lines = !node_state.queued_lines.is_empty() && node_state.connect_failures == 0;
         let needed = !node_state.playing.is_empty() || has_lines || node_state.connection_lost_at.is_some();
@@ -696,6 +707,7 @@
             created_at: now,
             last_heard_at: now,
             resumes: false,
+            process: ProcessId::behind(upstream),
             carried_session: false,
             pending: BTreeSet::new(),
             unconfirmed_releases: VecDeque::new(),
--- a/crates/platform/src/upstream/discovery.rs
+++ b/crates/platform/src/upstream/discovery.rs
@@ -62,34 +62,34 @@
         self.inputs.push(Input::DiscoveryUpdate { full: update.snapshot, nodes });
     }
 
-    /// Drops the connections to a removed node that may lead to another process, which has taken its address.
-    /// Unless a connection is proven to lead to the removed node, its sessions are lost: they are released
-    /// there too, in case it still runs. Releases that are queued go to the node that is next at its address.
+    /// Ends the sessions of a removed node whose process no connection leads to, and drops the connections that no
+    /// session has used: they may lead to another process, which has taken the node's address. Releases that are
+    /// queued go to the node that is next at its address.
     fn node_removed(&mut self, now: Instant, node: NodeId, address: Option<SocketAddr>) {
         let Some(node_state) = self.nodes.get(&node) else { return };
-        let is_proven = |upstream: &&UpstreamId| {
-            self.upstreams.get(upstream).is_some_and(|connection| connection.carried_session)
+        let is_unused = |upstream: &&UpstreamId| {
+            self.upstreams.get(upstream).is_some_and(|connection| !connection.carried_session)
         };
-        let upstreams = &node_state.upstreams;
-        let unproven: Vec<UpstreamId> = upstreams.iter().filter(|id| !is_proven(id)).copied().collect();
-        if unproven.len() == upstreams.len() {
-            self.release_lost_sessions(now, node);
-        }
-        for upstream in unproven {
+        let unused: Vec<UpstreamId> = node_state.upstreams.iter().filter(is_unused).copied().collect();
+        self.release_unreachable_sessions(now, node);
+        for upstream in unused {
             self.abandon_upstream(now, upstream);
         }
         self.orphan_queued_releases(now, node, address);
     }
 
-    /// Ends all sessions of a node as lost, and releases them on a connection, if there is one.
-    fn release_lost_sessions(&mut self, now: Instant, node: NodeId) {
-        let Some(node_state) = self.nodes.get(&node) else { return };
+    /// Ends the sessions of a removed node whose process no connection leads to, as lost. They are released on
+    /// a connection too, if there is one, in case it does lead there.
+    pub(super) fn release_unreachable_sessions(&mut self, now: Instant, node: NodeId) {
+        let lost = self.sessions_without_connection(node);
         if let Some(upstream) = self.connected_upstream(node) {
-            let tags = node_state.playing.iter().filter_map(|id| Some(self.sessions.get(id)?.tag));
+            let tags = lost.iter().filter_map(|id| Some(self.sessions.get(id)?.tag));
             let releases = tags.filter_map(encode_release);
             self.actions.extend(releases.map(|line| Action::SendUpstream(upstream, line)));
         }
-        self.end_lost_sessions(now, node, now);
+        for session in lost {
+            self.end_session(now, session, AttemptOutcome::Lost, true);
+        }
     }
 
     /// Drops the lines that are queued for a node, and keeps the releases among them for its address.
