Nodes' messages: a module of their own, one function for each kind of message

Change: what a message is about is found once (Subject), then one function for each verb; upstream.rs has 708 lines. No behaviour changes.

--- a/crates/platform/src/upstream.rs
+++ b/crates/platform/src/upstream.rs
@@ -8,22 +8,22 @@
 
 mod checks;
 mod discovery;
+mod node_messages;
 mod process_identity;
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::SocketAddr;
 
 use ashglade::ids::{NodeId, Rung, SessionId, SetupNumber};
-use ashglade::interface::{AttemptOutcome, LoadMetric};
+use ashglade::interface::AttemptOutcome;
 use ashglade::time::{Instant, Span};
-use ashglade_engine::{Input, LoadReport};
+use ashglade_engine::Input;
 use bytes::Bytes;
-use tracing::{debug, trace, warn};
+use tracing::{debug, warn};
 
 use crate::causes;
-use crate::early_ends::EarlyEnd;
 use crate::gateway::{Action, Attempt, CloseReason, Gateway, HeldRequest, UpstreamId};
-use crate::message::{self, Message, Tag, Verb, parse_finite};
+use crate::message::{self, Message, Tag, Verb};
 
 pub(crate) use process_identity::ProcessId;
 
@@ -172,154 +172,6 @@
         }
     }
 
-    /// Handles a node's message: answers to SETUPs, ends of sessions, health check replies and reports.
-    pub(crate) fn upstream_message(&mut self, now: Instant, upstream: UpstreamId, message: Message) {
-        let Some(connection) = self.upstreams.get_mut(&upstream) else { return };
-        connection.last_heard_at = now;
-        let node = connection.node;
-        trace!(trunk = upstream.0, ?message, "received from a node");
-        // A node that fails a health check may already have ended with its sessions. The reply is therefore
-        // no sign of life: a new connection shows whether the node is still there.
-        let failed_check = message.verb == Verb::Echoed && message.cause != Some(1);
-        if let Some(node_state) = self.nodes.get_mut(&node).filter(|_| !failed_check) {
-            (node_state.last_heard_at, node_state.health_check_sent_at) = (now, None);
-        }
-        let Some(tag) = message.tag else { return self.close_on_protocol_error(now, upstream) };
-        if matches!(message.verb, Verb::Finish | Verb::Finished) {
-            connection.unconfirmed_releases.retain(|&(_, released)| released != tag);
-        }
-        let load = message.opts.get("load").map(parse_load);
-        let session = self.session_by_tag.get(&tag).copied();
-        let state = session.and_then(|session| self.sessions.get(&session));
-        let was_sent_here = |attempt: &Attempt| attempt.sent.is_some_and(|(sent, _)| sent == upstream);
-        let attempt = state
-            .and_then(|state| state.attempt.as_ref())
-            .filter(|attempt| was_sent_here(attempt))
-            .map(|attempt| attempt.setup);
-        let plays_here = state.and_then(|state| state.playing_at).is_some_and(|(at, _)| at == node);
-        let names_session = attempt.is_some() || plays_here;
-        if let Some(connection) = self.upstreams.get_mut(&upstream).filter(|_| names_session) {
-            connection.carried_session = true;
-        }
-        if let Some(session) = session.filter(|_| plays_here) {
-            self.identify_process(upstream, session, &message);
-        }
-        let state = session.and_then(|session| self.sessions.get(&session));
-        // After a restart, nothing could be received on a connection, or about a session, that is older than
-        // the suspicion. A release without a cause, or with the cause for interrupted sessions, does not
-        // count for its session.
-        let interrupted =
-            message.verb == Verb::Finish && message.cause.is_none_or(|cause| cause == causes::INTERRUPTED);
-        let playing_since = state
-            .and_then(|state| state.playing_at)
-            .filter(|_| plays_here && !interrupted)
-            .map(|(_, since)| since);
-        let connection = self.upstreams.get(&upstream);
-        let (created_at, resumes) = connection.map(|c| (c.created_at, c.resumes)).unzip();
-        let process = connection.map(|c| c.process);
-        if let Some(node_state) = self.nodes.get_mut(&node).filter(|_| !failed_check)
-            && let Some(suspected_at) = node_state.restart_suspected_at
-            && (resumes == Some(true)
-                || created_at.into_iter().chain(playing_since).any(|before| before < suspected_at))
-        {
-            node_state.restart_suspected_at = None;
-            debug!(name = node_state.name, resumes, "the node's process has not restarted");
-            self.inputs.push(Input::NodeKeptRunning { node });
-        }
-        match (message.verb, session) {
-            (Verb::Started, Some(session)) if attempt.is_some() => {
-                let Some(text) = message.description else {
-                    return self.close_on_protocol_error(now, upstream);
-                };
-                let Some(setup) = attempt else { return };
-                self.clear_attempt(session);
-                if let Some(state) = self.sessions.get_mut(&session) {
-                    (state.playing_at, state.process) = (Some((node, now)), process);
-                    (state.description, state.request) = (Some(text), None);
-                }
-                self.session_plays(now, session, node);
-                self.inputs.push(Input::SetupAccepted { session, setup, load });
-            }
-            (Verb::Started, _) if !plays_here => {
-                // The SETUP was cancelled meanwhile, or was never sent.
-                if let Some(index) = self.cancelled_setups.iter().position(|&setup| setup == (node, tag)) {
-                    self.cancelled_setups.remove(index);
-                    self.send_to_node(now, node, Verb::Finish, tag, &[], Some(causes::NORMAL_RELEASE));
-                }
-            }
-            (Verb::Finish, session) => {
-                let Some(cause) = message.cause else { return self.close_on_protocol_error(now, upstream) };
-                match (session, attempt) {
-                    (Some(session), Some(setup)) => {
-                        self.clear_attempt(session);
-                        let outcome = causes::setup_outcome(cause);
-                        self.inputs.push(Input::SetupFailed { session, setup, outcome, load });
-                        self.report_node_alive(node, outcome, true);
-                        self.remove_if_finished(session);
-                    }
-                    (Some(session), None) if plays_here => {
-                        self.inputs.extend(load.map(|load| Input::NodeLoad { node, load }));
-                        let (outcome, notify_viewer) = causes::session_outcome(cause);
-                        let playing_since = self
-                            .sessions
-                            .get(&session)
-                            .and_then(|state| state.playing_at)
-                            .map(|(_, since)| since);
-                        let same_connection =
-                            created_at.zip(playing_since).is_some_and(|(created, since)| created <= since);
-                        self.end_session(now, session, outcome, notify_viewer);
-                        self.report_node_alive(node, outcome, same_connection);
-                    }
-                    (None, _) => self.keep_early_end(now, tag, EarlyEnd::Node { node, cause }),
-                    _ => {}
-                }
-            }
-            (Verb::Echoed, _) => {
-                let check = self
-                    .upstreams
-                    .get_mut(&upstream)
-                    .and_then(|connection| connection.health_checks.remove(&tag));
-                let passed = message.cause == Some(1);
-                match check {
-                    Some(Some(probe)) => {
-                        let load = passed.then(|| load.unwrap_or_default());
-                        self.inputs.push(Input::ProbeResult { probe, load });
-                    }
-                    // The gateway's own health checks bring the same load reports as the engine's probes.
-                    Some(None) if passed => {
-                        self.inputs.extend(load.map(|load| Input::NodeLoad { node, load }));
-                    }
-                    _ => {}
-                }
-            }
-            (Verb::Notice, Some(session)) if plays_here => {
-                let Some(value) = message.opts.number("value") else { return };
-                match message.opts.get("note") {
-                    Some("d") => self.inputs.push(Input::NodeDelivery { node, share: value }),
-                    Some("r") => self.inputs.push(Input::RungUnchanged { session, rung: Rung(value as u8) }),
-                    Some("l") => {
-                        let load = LoadReport { link: Some(value), ..LoadReport::default() };
-                        self.inputs.push(Input::NodeLoad { node, load });
-                    }
-                    Some("u") => {
-                        let load = LoadReport { uplink: Some(value), ..LoadReport::default() };
-                        self.inputs.push(Input::NodeLoad { node, load });
-                    }
-                    _ => {}
-                }
-            }
-            _ => {}
-        }
-    }
-
-    /// Tells the engine that the node keeps running if the node itself reported a session as lost, on a
-    /// connection that is at least as old as the session.
-    fn report_node_alive(&mut self, node: NodeId, outcome: AttemptOutcome, same_connection: bool) {
-        if outcome == AttemptOutcome::Lost && same_connection {
-            self.inputs.push(Input::NodeKeptRunning { node });
-        }
-    }
-
     /// Handles the end of a connection: fails what was pending on it, queues its unconfirmed releases, and
     /// reconnects if needed.
     pub(crate) fn upstream_closed(&mut self, now: Instant, upstream: UpstreamId, reason: CloseReason) {
@@ -854,19 +706,3 @@
 fn encode_release(tag: Tag) -> Option<Bytes> {
     message::encode(Verb::Finish, tag, &[], Some(causes::NORMAL_RELEASE), None)
 }
-
-/// Parses a load report: values by the names that the settings give them, such as `x0:0.12;x1:0.4`. Unknown
-/// names and malformed values are ignored.
-fn parse_load(text: &str) -> LoadReport {
-    let mut load = LoadReport::default();
-    for (name, value) in text.split(';').filter_map(|pair| pair.split_once(':')) {
-        let value = parse_finite(value);
-        match ashglade_site::load_metric(name) {
-            LoadMetric::Link => load.link = value,
-            LoadMetric::Uplink => load.uplink = value,
-            LoadMetric::Streams => load.streams = value,
-            LoadMetric::Other => {}
-        }
-    }
-    load
-}
