Gateway: viewers' connections, SETUP queue and release notices in modules of their own

Need: gateway.rs had 970 lines with four jobs.

Change: gateway/downstream.rs, setup_queue.rs and release_notices.rs hold what they name, moved as it stood; expired release notices are dropped by the module that keeps them. gateway.rs has 589 lines. No behaviour changes.

--- a/crates/platform/src/gateway.rs
+++ b/crates/platform/src/gateway.rs
@@ -8,15 +8,18 @@
 //!   the end (see `upstream`);
 //! - that connections, SETUP requests and sessions of one party don't grow without bound.
 
+mod downstream;
 mod planned_shutdown;
+mod release_notices;
+mod setup_queue;
 
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::collections::{BTreeMap, VecDeque};
 use std::fmt;
 use std::net::{IpAddr, SocketAddr};
 
 use ashglade::ids::{NodeId, Rung, SessionId, SetupNumber};
 use ashglade::interface::AttemptOutcome;
-use ashglade::shutdown::{ConnectionUse, Shutdown};
+use ashglade::shutdown::Shutdown;
 use ashglade::time::{Instant, Span};
 use ashglade_engine::{Effect, Engine, EngineConfig, Input, SessionResponse, Tally};
 use ashglade_site::DirectorSettings;
@@ -24,17 +27,21 @@
 use tracing::{debug, trace, warn};
 
 use crate::bus::{DiscoveryUpdate, node_id};
-use crate::byte_budget::{ByteAccount, ByteBudget, ByteReservation};
+use crate::byte_budget::ByteBudget;
 use crate::causes;
 use crate::config::Config;
 use crate::early_ends::{EarlyEnd, EarlyEnds};
 use crate::message::{self, Message, Tag, Verb};
 use crate::orphaned_releases::OrphanedReleases;
 use crate::resource_limits::ResourceLimits;
-use crate::setup_request::{self, SetupRequest};
+use crate::setup_request::SetupRequest;
 use crate::upstream::{NodeState, ProcessId, UpstreamConnection};
 
+use downstream::DownstreamConnection;
 pub use planned_shutdown::OpenWork;
+use release_notices::ReleaseNotice;
+pub(crate) use setup_queue::HeldRequest;
+use setup_queue::QueuedSetup;
 
 /// Identifies a viewer's connection. Assigned by the caller.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -133,18 +140,11 @@
 const ENGINE_START_DELAY_SECONDS: f64 = 0.1;
 /// Interval of the checks of connections and nodes.
 const CHECK_INTERVAL_SECONDS: f64 = 0.25;
-/// Time after which a viewer's connection that has sent nothing useful is closed. The protocol allows 3 s.
-const USELESS_TIMEOUT_SECONDS: f64 = 2.2;
-/// Time after which a viewer's connection without sessions is closed. Viewers close such connections
-/// themselves after 4 s.
-const IDLE_TIMEOUT_SECONDS: f64 = 5.0;
 /// Part of the setup timeout that is reserved for the transmission of the answer, in milliseconds.
 const ANSWER_MARGIN_MS: f64 = 20.0;
 /// Maximum number of queued SETUP requests handled in one call, so that closes and cancellations are
 /// processed between the requests of a flood.
 const MAX_SETUPS_PER_CALL: usize = 32;
-/// Time that a release notice is kept for a client without a connection.
-const RELEASE_NOTICE_TTL_SECONDS: f64 = 8.0;
 /// Descriptors that the process needs for itself: standard streams, the runtime, the listener, and the event
 /// bus at its old and its new address.
 const RESERVED_DESCRIPTORS: usize = 14;
@@ -185,69 +185,6 @@
     release_after_answer: Option<Bytes>,
 }
 
-/// A valid SETUP request that needs an answer, with the bytes that it holds.
-pub(crate) struct HeldRequest {
-    pub request: SetupRequest,
-    _bytes: ByteReservation,
-}
-
-/// A viewer's connection.
-struct DownstreamConnection {
-    client: IpAddr,
-    opened_at: Instant,
-    idle_since: Instant,
-    /// A valid request has been received.
-    useful: bool,
-    /// A SETUP request has been received, valid or not.
-    had_requests: bool,
-    /// Number of SETUP requests that are still queued.
-    queued_setups: usize,
-    /// The bytes of the requests that were received here and have no answer.
-    request_bytes: ByteAccount,
-    /// Sessions that have no answer yet.
-    pending: BTreeSet<SessionId>,
-    /// Sessions that were requested here, and that play for their viewers.
-    playing: BTreeSet<SessionId>,
-    /// A close has been requested, which an incoming message cancels.
-    closing: bool,
-}
-
-impl DownstreamConnection {
-    /// Returns what a planned shutdown has to know of the connection.
-    fn usage(&self) -> ConnectionUse {
-        if self.queued_setups > 0 || !self.pending.is_empty() {
-            return ConnectionUse::OpenRequests;
-        }
-        if !self.playing.is_empty() {
-            return ConnectionUse::PlayingSessions;
-        }
-        ConnectionUse::Unused { opened_at: self.opened_at, had_requests: self.had_requests }
-    }
-
-    /// Returns whether the connection carries no request and no playing session.
-    fn is_unused(&self) -> bool {
-        self.queued_setups == 0 && self.pending.is_empty() && self.playing.is_empty()
-    }
-}
-
-/// A SETUP request that has not been passed to the engine yet.
-struct QueuedSetup {
-    received_at: Instant,
-    downstream: DownstreamId,
-    tag: Tag,
-    message: Message,
-    bytes: ByteReservation,
-}
-
-/// A release that a client must get.
-struct ReleaseNotice {
-    created_at: Instant,
-    client: IpAddr,
-    /// The connection on which it was sent; `None` while the client has no connection.
-    downstream: Option<DownstreamId>,
-    line: Bytes,
-}
-
 /// Connects viewers' connections, the engine and nodes' connections. See the [module documentation](self).
 pub struct Gateway {
     pub(crate) site: DirectorSettings,
@@ -382,6 +319,7 @@
         if now >= self.next_check_at {
             self.next_check_at = now + Span::from_secs(CHECK_INTERVAL_SECONDS);
             self.check_downstreams(now);
+            self.expire_release_notices(now);
             self.check_nodes(now);
         }
         if self.engine_start_at.is_some_and(|at| at <= now) {
@@ -460,164 +398,12 @@
         }
     }
 
-    // Viewers' connections
-
-    fn downstream_opened(&mut self, now: Instant, downstream: DownstreamId, client: IpAddr) {
-        // A tenth of the descriptors is left for connections that are being closed, and for new ones while
-        // all others are in use.
-        let max_open = (self.descriptor_limits[0] * 9 / 10).max(1);
-        if self.downstreams.values().filter(|c| !c.closing).count() >= max_open {
-            // The oldest connection that never sent a valid request is closed first, then the oldest that is
-            // unused.
-            let unused = self.downstreams.iter().filter(|(_, c)| c.is_unused() && !c.closing);
-            let evicted = unused.min_by_key(|(_, c)| (c.useful, c.opened_at)).map(|(&id, c)| (id, c.useful));
-            match evicted {
-                None => return self.actions.push(Action::CloseDownstream(downstream)),
-                Some((evicted, true)) => self.close_downstream_if_idle(evicted),
-                Some((evicted, false)) => self.close_downstream(evicted),
-            }
-        }
-        let connection = DownstreamConnection {
-            client,
-            opened_at: now,
-            idle_since: now,
-            useful: false,
-            had_requests: false,
-            queued_setups: 0,
-            request_bytes: self.request_bytes.open_account(),
-            pending: BTreeSet::new(),
-            playing: BTreeSet::new(),
-            closing: false,
-        };
-        self.downstreams.insert(downstream, connection);
-        self.release_notices.iter_mut().filter(|n| n.downstream.is_none() && n.client == client).for_each(
-            |notice| {
-                notice.downstream = Some(downstream);
-                self.actions.push(Action::SendDownstream(downstream, notice.line.clone()));
-            },
-        );
-    }
-
-    /// Closes a connection unless a request is already on its way. The viewer has to repeat a request only if
-    /// it is sent in the very moment of the close.
-    fn close_downstream_if_idle(&mut self, downstream: DownstreamId) {
-        if let Some(connection) = self.downstreams.get_mut(&downstream) {
-            connection.closing = true;
-        }
-        self.actions.push(Action::CloseDownstreamIfIdle(downstream));
-    }
-
-    fn close_downstream(&mut self, downstream: DownstreamId) {
-        self.actions.push(Action::CloseDownstream(downstream));
-        self.downstream_closed(downstream);
-    }
-
-    /// Cancels the unanswered requests of a closed connection, and sends their releases in case the viewer
-    /// closed only its sending half. Playing sessions continue.
-    fn downstream_closed(&mut self, downstream: DownstreamId) {
-        let Some(connection) = self.downstreams.remove(&downstream) else { return };
-        let mut cancelled = Vec::new();
-        if connection.queued_setups > 0 {
-            cancelled.extend(
-                self.setup_queue
-                    .iter()
-                    .filter(|s| s.downstream == downstream)
-                    .map(|s| (s.tag, causes::CONGESTION)),
-            );
-            self.setup_queue.retain(|setup| setup.downstream != downstream);
-        }
-        for session in connection.pending {
-            let release = |state: &SessionState| {
-                (state.tag, if state.setup_sent { causes::INTERRUPTED } else { causes::CONGESTION })
-            };
-            cancelled.extend(self.sessions.get(&session).map(release));
-            self.viewer_left(session);
-        }
-        for (tag, cause) in cancelled {
-            let line = message::encode(Verb::Finish, tag, &[], Some(cause), None);
-            self.actions.extend(line.map(|line| Action::SendDownstreamAfterClose(downstream, line)));
-        }
-    }
-
-    /// Handles a line that its viewer has not read. If it is an answer, the viewer does not know the session,
-    /// which must not be left playing at its node. If it is a release, it is sent again on another
-    /// connection.
-    fn downstream_undelivered(&mut self, now: Instant, downstream: DownstreamId, line: Bytes) {
-        let message = Message::parse(&line).ok();
-        if let Some(session) = message
-            .filter(|message| message.verb == Verb::Started)
-            .and_then(|message| self.session_by_tag.get(&message.tag?).copied())
-            .filter(|session| self.sessions.get(session).is_some_and(|state| state.downstream == downstream))
-        {
-            debug!(
-                link = downstream.0,
-                "viewer disconnected before its answer was written; releasing the session"
-            );
-            return self.viewer_left(session);
-        }
-        let is_sent_here =
-            |notice: &ReleaseNotice| notice.downstream == Some(downstream) && notice.line == line;
-        if let Some(index) = self.release_notices.iter().position(is_sent_here)
-            && let Some(notice) = self.release_notices.remove(index)
-        {
-            self.send_release_notice(now, notice.client, None, notice.line);
-        }
-    }
-
-    fn downstream_message(&mut self, now: Instant, downstream: DownstreamId, message: Message) {
-        let Some(connection) = self.downstreams.get_mut(&downstream) else { return };
-        connection.closing = false;
-        trace!(link = downstream.0, ?message, "received from a viewer");
-        match (message.verb, message.tag) {
-            (Verb::Start, Some(tag)) => self.queue_setup(now, downstream, tag, message),
-            (Verb::Finish, Some(tag)) => {
-                self.cancel_queued_setup(tag);
-                match self.session_by_tag.get(&tag) {
-                    Some(&session) => {
-                        self.mark_useful(now, downstream);
-                        self.viewer_left(session);
-                    }
-                    None => self.keep_early_end(now, tag, EarlyEnd::Viewer),
-                }
-            }
-            (Verb::Echo, tag) => {
-                let passed = u16::from(self.shutdown.is_none());
-                if passed == 1 {
-                    self.schedule_engine_start(now);
-                }
-                let line = message::encode(
-                    Verb::Echoed,
-                    tag.unwrap_or(Tag::from_number(0)),
-                    &[],
-                    Some(passed),
-                    None,
-                );
-                self.actions.extend(line.map(|line| Action::SendDownstream(downstream, line)));
-            }
-            (Verb::Pending | Verb::Finished, _) => {}
-            _ => {
-                debug!(
-                    link = downstream.0,
-                    verb = ?message.verb,
-                    "viewers don't send messages of this kind; closing the connection"
-                );
-                self.close_downstream(downstream);
-            }
-        }
-    }
-
     fn schedule_engine_start(&mut self, now: Instant) {
         if self.engine.is_none() && self.engine_start_at.is_none() {
             self.engine_start_at = Some(now + Span::from_secs(ENGINE_START_DELAY_SECONDS));
         }
     }
 
-    fn mark_useful(&mut self, now: Instant, downstream: DownstreamId) {
-        if let Some(connection) = self.downstreams.get_mut(&downstream) {
-            (connection.useful, connection.idle_since) = (true, now);
-        }
-    }
-
     /// Answers a request with a release.
     fn refuse(&mut self, downstream: DownstreamId, tag: Tag, cause: u16) {
         debug!(%tag, link = downstream.0, cause, "request refused");
@@ -625,108 +411,6 @@
         self.actions.extend(line.map(|line| Action::SendDownstream(downstream, line)));
     }
 
-    /// Queues a SETUP request behind those of other viewers. While it is queued, its viewer may leave or
-    /// cancel it.
-    fn queue_setup(&mut self, now: Instant, downstream: DownstreamId, tag: Tag, message: Message) {
-        let Some(connection) = self.downstreams.get_mut(&downstream) else { return };
-        connection.had_requests = true;
-        if setup_request::is_handover(&message) {
-            // No one waits for an answer, and the engine must know of all handovers in its first round.
-            return self.handle_handover(now, downstream, tag, &message);
-        }
-        if self.shutdown.is_some_and(|shutdown| !shutdown.serves(now))
-            || connection.pending.len() + connection.queued_setups >= self.limits.pending_setups
-            || self.sessions.len() + self.setup_queue.len() >= self.limits.sessions
-        {
-            return self.refuse(downstream, tag, causes::CONGESTION);
-        }
-        let Some(bytes) = connection.request_bytes.reserve(message.text_bytes()) else {
-            debug!(
-                link = downstream.0,
-                used = self.request_bytes.used(),
-                limit = self.limits.request_bytes,
-                "the requests without an answer hold too many bytes"
-            );
-            return self.refuse(downstream, tag, causes::CONGESTION);
-        };
-        connection.queued_setups += 1;
-        self.setup_queue.push_back(QueuedSetup { received_at: now, downstream, tag, message, bytes });
-    }
-
-    /// Removes the queued SETUP requests with this tag, which their viewer has cancelled.
-    fn cancel_queued_setup(&mut self, tag: Tag) {
-        for setup in self.setup_queue.iter().filter(|setup| setup.tag == tag) {
-            if let Some(connection) = self.downstreams.get_mut(&setup.downstream) {
-                connection.queued_setups -= 1;
-            }
-        }
-        self.setup_queue.retain(|setup| setup.tag != tag);
-    }
-
-    /// Parses a request. Refuses it and returns `None` if it is invalid.
-    fn parse_request(
-        &mut self,
-        downstream: DownstreamId,
-        tag: Tag,
-        message: &Message,
-    ) -> Option<SetupRequest> {
-        match setup_request::parse(message, &self.site) {
-            Ok(request) => Some(request),
-            Err(error) => {
-                debug!(%tag, trouble = %error, "refused an invalid SETUP request");
-                self.refuse(downstream, tag, causes::INVALID_REQUEST);
-                None
-            }
-        }
-    }
-
-    fn handle_handover(&mut self, now: Instant, downstream: DownstreamId, tag: Tag, message: &Message) {
-        let Some(request) = self.parse_request(downstream, tag, message) else { return };
-        self.schedule_engine_start(now);
-        if let Some(name) = &request.playing_node
-            && !self.session_by_tag.contains_key(&tag)
-        {
-            self.adopt_session(now, downstream, tag, &request, name);
-        }
-    }
-
-    fn handle_setup(
-        &mut self,
-        now: Instant,
-        QueuedSetup { received_at, downstream, tag, message, bytes }: QueuedSetup,
-    ) {
-        if let Some(connection) = self.downstreams.get_mut(&downstream) {
-            connection.queued_setups -= 1;
-        }
-        let Some(request) = self.parse_request(downstream, tag, &message) else { return };
-        drop(message);
-        self.schedule_engine_start(now);
-        if let Some(session) = self.session_by_tag.get(&tag).copied() {
-            self.refuse(downstream, tag, causes::INVALID_REQUEST);
-            // On one connection, the answers to two requests with one tag can't be told apart: neither is
-            // served.
-            if self.sessions.get(&session).is_some_and(|s| s.downstream == downstream && !s.answered) {
-                self.viewer_left(session);
-            }
-            return;
-        }
-        let mut viewer_request = request.viewer_request;
-        // The viewer's timeout runs from the arrival of the request, also while the engine's start is
-        // pending.
-        let until_engine_start = self.engine_start_at.map_or(Span::ZERO, |start| start - now);
-        viewer_request.setup_timeout =
-            viewer_request.setup_timeout - until_engine_start - (now - received_at);
-        if viewer_request.setup_timeout <= Span::from_ms(ANSWER_MARGIN_MS) {
-            // Too late for a SETUP; none has been sent.
-            return self.refuse(downstream, tag, causes::CONGESTION);
-        }
-        let held_request = Box::new(HeldRequest { request, _bytes: bytes });
-        let Some(session) = self.create_session(now, downstream, tag, Some(held_request), None) else {
-            return;
-        };
-        self.inputs.push(Input::SessionRequested { session, request: viewer_request });
-    }
-
     /// Creates a session that awaits its answer, or one that already plays if `playing_at` is given.
     fn create_session(
         &mut self,
@@ -856,47 +540,6 @@
         self.remove_if_finished(session);
     }
 
-    /// Sends a line on the connection of the session's request, or on another connection of the same client.
-    pub(crate) fn send_to_viewer(&mut self, session: SessionId, line: Bytes) {
-        let Some(state) = self.sessions.get(&session) else { return };
-        let (preferred, client) = (state.downstream, state.client);
-        if let Some(downstream) = self.downstream_of(client, Some(preferred)) {
-            self.actions.push(Action::SendDownstream(downstream, line));
-        }
-    }
-
-    /// Returns the preferred connection if it is open, else another one of the client, if possible one that
-    /// is not about to be closed.
-    fn downstream_of(&self, client: IpAddr, preferred: Option<DownstreamId>) -> Option<DownstreamId> {
-        let preferred = preferred.filter(|downstream| self.downstreams.contains_key(downstream));
-        let others = || self.downstreams.iter().filter(|(_, c)| c.client == client);
-        preferred.or_else(|| others().min_by_key(|(_, c)| c.closing).map(|(&downstream, _)| downstream))
-    }
-
-    /// Sends a release, and keeps it for a while in case it is not written. If the client has no connection,
-    /// the release waits for one.
-    fn send_release_notice(
-        &mut self,
-        now: Instant,
-        client: IpAddr,
-        preferred: Option<DownstreamId>,
-        line: Bytes,
-    ) {
-        let downstream = self.downstream_of(client, preferred);
-        if let Some(id) = downstream {
-            self.actions.push(Action::SendDownstream(id, line.clone()));
-        } else {
-            debug!(to = %client, "a release waits for a connection of its client");
-        }
-        if self.release_notices.len() >= self.limits.outstanding
-            && let Some(dropped) = self.release_notices.pop_front()
-            && dropped.downstream.is_none()
-        {
-            warn!(to = %dropped.client, "too many release notices are queued; dropped the oldest, which is not sent");
-        }
-        self.release_notices.push_back(ReleaseNotice { created_at: now, client, downstream, line });
-    }
-
     /// Ends a playing session: sends a release to its viewer, if `notify_viewer`, and removes the session's
     /// state. If the viewer has no answer yet, both wait for the answer.
     pub(crate) fn end_session(
@@ -943,29 +586,4 @@
             self.session_by_tag.remove(&state.tag);
         }
     }
-
-    /// Closes idle connections and drops expired release notices.
-    fn check_downstreams(&mut self, now: Instant) {
-        let is_idle = |c: &DownstreamConnection| {
-            let (timeout, since) = if c.useful {
-                (IDLE_TIMEOUT_SECONDS, c.idle_since)
-            } else {
-                (USELESS_TIMEOUT_SECONDS, c.opened_at)
-            };
-            c.is_unused() && now - since > Span::from_secs(timeout)
-        };
-        let idle = self.downstreams.iter().filter(|(_, c)| is_idle(c)).map(|(&id, c)| (id, c.useful));
-        for (downstream, useful) in idle.collect::<Vec<_>>() {
-            if useful {
-                self.close_downstream_if_idle(downstream);
-            } else {
-                self.close_downstream(downstream);
-            }
-        }
-        let is_expired =
-            |notice: &ReleaseNotice| now - notice.created_at > Span::from_secs(RELEASE_NOTICE_TTL_SECONDS);
-        while self.release_notices.front().is_some_and(is_expired) {
-            self.release_notices.pop_front();
-        }
-    }
 }
--- a/crates/platform/src/gateway/planned_shutdown.rs
+++ b/crates/platform/src/gateway/planned_shutdown.rs
@@ -7,7 +7,8 @@
 use ashglade_engine::Input;
 use tracing::info;
 
-use super::{Action, DownstreamConnection, DownstreamId, Gateway};
+use super::downstream::DownstreamConnection;
+use super::{Action, DownstreamId, Gateway};
 
 /// Interval at which connections are closed during a shutdown.
 const SHUTDOWN_CHECK_INTERVAL_SECONDS: f64 = 0.02;
