Memory limits: docs say what is bounded, memory tests share one sequence

The doc of line_bytes said that lines received in part share its limit, which no code does: they are bounded by their number and the longest line. A test's comment named refused connections, which it doesn't try. Three memory tests repeated one sequence, with a parameter left over from a test that isn't kept. Some functions were more visible than used.

Nothing that ships behaves otherwise.

--- a/crates/cli/tests/memory.rs
+++ b/crates/cli/tests/memory.rs
@@ -104,10 +104,9 @@
     stream
 }
 
-/// Sends the bursts of this many clients at once. The returned threads end with their connections.
+/// Sends the bursts of all clients at once. The returned threads end with their connections.
 fn send_bursts(
     program: &Program,
-    clients: u64,
     requests_per_client: u64,
     line: fn(u64) -> String,
 ) -> Vec<JoinHandle<TcpStream>> {
@@ -117,7 +116,7 @@
         let tags = first_tag..first_tag + requests_per_client;
         std::thread::spawn(move || send_burst(listen, tags, line))
     };
-    (0..clients).map(spawn).collect()
+    (0..CLIENTS).map(spawn).collect()
 }
 
 /// Reads until each of this many requests has an answer, or the connection ends.
@@ -137,17 +136,23 @@
     }
 }
 
+/// Sends the bursts of all clients and reads their answers. The process must stay below its memory limit, and
+/// requests of a usual viewer must be answered meanwhile and afterwards.
+fn assert_bursts_are_survived(program: &Program, requests_per_client: u64, line: fn(u64) -> String) {
+    let memory = MemoryWatch::start(program);
+    let clients = send_bursts(program, requests_per_client, line);
+    assert_usual_requests_are_answered(program);
+    clients.into_iter().for_each(|client| read_answers(client.join().unwrap(), requests_per_client));
+    assert_usual_requests_are_answered(program);
+    memory.assert_below_limit();
+}
+
 /// Guards against a director that is killed for memory because its limits counted requests and not their bytes.
 #[test]
 fn bursts_of_full_requests_stay_below_the_memory_limit() {
     let node = Node::start();
     let program = start(&endpoint("n1", &node, 0));
-    let memory = MemoryWatch::start(&program);
-    let clients = send_bursts(&program, CLIENTS, REQUESTS_PER_CLIENT, |tag| full_request(tag, "fa"));
-    assert_usual_requests_are_answered(&program);
-    clients.into_iter().for_each(|client| read_answers(client.join().unwrap(), REQUESTS_PER_CLIENT));
-    assert_usual_requests_are_answered(&program);
-    memory.assert_below_limit();
+    assert_bursts_are_survived(&program, REQUESTS_PER_CLIENT, |tag| full_request(tag, "fa"));
 }
 
 /// Guards against a director that is killed for memory because it keeps all fields of a message, of which a full
@@ -156,14 +161,10 @@
 fn bursts_of_requests_with_many_fields_stay_below_the_memory_limit() {
     let node = Node::start();
     let program = start(&endpoint("n1", &node, 0));
-    let memory = MemoryWatch::start(&program);
-    let clients = send_bursts(&program, CLIENTS, REQUESTS_WITH_MANY_FIELDS, |tag| {
+    assert_bursts_are_survived(&program, REQUESTS_WITH_MANY_FIELDS, |tag| {
         let fields: String = (0..1_400).map(|n| format!(r#","{n:03x}":"""#)).collect();
         request(tag, "fa", &fields, "v=0")
     });
-    assert_usual_requests_are_answered(&program);
-    clients.into_iter().for_each(|client| read_answers(client.join().unwrap(), REQUESTS_WITH_MANY_FIELDS));
-    memory.assert_below_limit();
 }
 
 /// Guards against a director that is killed for memory because SETUPs pile up for a node that does not read.
@@ -171,13 +172,9 @@
 fn setups_for_a_node_that_does_not_read_stay_below_the_memory_limit() {
     let (node, hung_node) = (Node::start(), ScriptedNode::start());
     let program = start(&[endpoint("n1", &node, 0), endpoint_at("n2", hung_node.address, 1)].join(","));
-    let memory = MemoryWatch::start(&program);
-    let clients = send_bursts(&program, CLIENTS, REQUESTS_PER_CLIENT, |tag| {
+    assert_bursts_are_survived(&program, REQUESTS_PER_CLIENT, |tag| {
         full_request(tag, "fa").replace("home:0;copies:1", "home:1;copies:1")
     });
-    assert_usual_requests_are_answered(&program);
-    clients.into_iter().for_each(|client| read_answers(client.join().unwrap(), REQUESTS_PER_CLIENT));
-    memory.assert_below_limit();
 }
 
 /// Guards against a director that is killed for memory because of long lines that never end, on all connections
--- a/crates/platform/src/gateway/release_notices.rs
+++ b/crates/platform/src/gateway/release_notices.rs
@@ -33,11 +33,7 @@
 
     /// Returns the preferred connection if it is open, else another one of the client, if possible one that
     /// is not about to be closed.
-    pub(super) fn downstream_of(
-        &self,
-        client: IpAddr,
-        preferred: Option<DownstreamId>,
-    ) -> Option<DownstreamId> {
+    fn downstream_of(&self, client: IpAddr, preferred: Option<DownstreamId>) -> Option<DownstreamId> {
         let preferred = preferred.filter(|downstream| self.downstreams.contains_key(downstream));
         let others = || self.downstreams.iter().filter(|(_, c)| c.client == client);
         preferred.or_else(|| others().min_by_key(|(_, c)| c.closing).map(|(&downstream, _)| downstream))
--- a/crates/platform/src/gateway/setup_queue.rs
+++ b/crates/platform/src/gateway/setup_queue.rs
@@ -65,7 +65,7 @@
     }
 
     /// Parses a request. Refuses it and returns `None` if it is invalid.
-    pub(super) fn parse_request(
+    fn parse_request(
         &mut self,
         downstream: DownstreamId,
         tag: Tag,
@@ -81,13 +81,7 @@
         }
     }
 
-    pub(super) fn handle_handover(
-        &mut self,
-        now: Instant,
-        downstream: DownstreamId,
-        tag: Tag,
-        message: &Message,
-    ) {
+    fn handle_handover(&mut self, now: Instant, downstream: DownstreamId, tag: Tag, message: &Message) {
         let Some(request) = self.parse_request(downstream, tag, message) else { return };
         self.schedule_engine_start(now);
         if let Some(name) = &request.playing_node
--- a/crates/platform/src/message.rs
+++ b/crates/platform/src/message.rs
@@ -190,9 +190,7 @@
             description: incoming.blob,
         })
     }
-}
 
-impl Message {
     /// Returns the number of bytes of the message's texts.
     pub fn text_bytes(&self) -> usize {
         self.opts.0.values().map(String::len).sum::<usize>()
--- a/crates/platform/src/resource_limits.rs
+++ b/crates/platform/src/resource_limits.rs
@@ -3,7 +3,8 @@
 //! at most one entry of each kind. Memory is allocated as it is needed, not in advance.
 //!
 //! Messages may be 16 KiB long, a hundred times their usual length, so what holds messages is limited in bytes
-//! as well: at most seven sixteenths of the memory limit in all.
+//! as well: at most seven sixteenths of the memory limit in all. Lines that are received in part come on top: one of
+//! at most the longest line for each connection, whose number the limit on descriptors bounds.
 
 use crate::line_decoder::MAX_LINE_BYTES;
 
@@ -43,8 +44,7 @@
     pub request_bytes: usize,
     /// Bytes of messages that have been received and not processed.
     pub received_bytes: usize,
-    /// Bytes of the lines queued for viewers, and as many for nodes. Lines that are received in part have the
-    /// same limit.
+    /// Bytes of the lines queued for viewers, and as many for nodes.
     pub line_bytes: usize,
 }
 
--- a/crates/platform/src/session_end_tests.rs
+++ b/crates/platform/src/session_end_tests.rs
@@ -223,8 +223,7 @@
     "#]]);
 }
 
-/// Guards against the same for a session that its node interrupts, and for one that ends because its node refuses
-/// connections.
+/// Guards against the same for a session that its node interrupts.
 #[test]
 fn a_session_that_is_lost_together_with_its_answer_is_answered_first() {
     let mut harness = Harness::started();
