--- a/review/stage-2/src/cases.rs
+++ b/review/stage-2/src/cases.rs
@@ -1,8 +1,12 @@
 //! The cases: what happens in each, and its check.
 
+use std::sync::atomic::Ordering;
 use std::sync::Arc;
+use std::thread;
 
-use crate::world::{endpoint, note, now, sleep, wait_until, Bus, Director, Node, Request, Settings, Spoil, Viewer};
+use crate::world::{
+    endpoint, note, now, send_hundreds, sleep, wait_until, BadTraffic, Bus, Director, Node, Request, Settings, Spoil, Viewer,
+};
 use crate::Verdict;
 
 /// Time within which nothing that is over may be left standing, with the slack of the protocol, in seconds.
@@ -47,7 +51,7 @@
 /// A director stands still again and again; its nodes are well and its sessions play on.
 pub fn stall(trouble: bool) -> Verdict {
     let (bus, nodes) = start_nodes(6);
-    let settings = Settings { streams: 32, may_probe: false };
+    let settings = Settings::default();
     let Some(mut director) = Director::start(&bus, &settings) else { return could_not("the director did not start") };
     sleep(2.5);
     let mut viewers = Vec::new();
@@ -81,65 +85,10 @@
     if left.is_empty() { Verdict::Held(text) } else { Verdict::Broken(text) }
 }
 
-/// A good answer stops short on one of two connections to a node.
-pub fn spoilt(trouble: bool) -> Verdict {
-    let (bus, nodes) = start_nodes(2);
-    let settings = Settings { streams: 32, may_probe: false };
-    let Some(mut director) = Director::start(&bus, &settings) else { return could_not("the director did not start") };
-    sleep(2.5);
-    let Some(front) = Viewer::connect(director.address) else { return could_not("no connection") };
-    // A crowd comes at once, so that each node gets more SETUPs than one connection carries.
-    let warm: Vec<String> = (0..8).map(|_| front.ask(&CLIP)).collect();
-    wait_until(3.0, || warm.iter().all(|tag| front.started(tag)));
-    nodes.iter().for_each(|node| node.set_answer_delay(0.2));
-    let crowd: Vec<String> = (0..110).map(|_| front.ask(&CLIP)).collect();
-    wait_until(4.0, || crowd.iter().all(|tag| !front.heard(tag).is_empty()));
-    nodes.iter().for_each(|node| node.set_answer_delay(0.02));
-    if nodes.iter().any(|node| node.open_connections() < 2) {
-        return could_not("a node has one connection only");
-    }
-    sleep(1.0);
-    // The next answers of the first node stop short on their way, until one did.
-    let mut tag = String::new();
-    for number in 0..20 {
-        tag = format!("5eed0000000000{:02x}", 0x80 + number);
-        if trouble {
-            nodes[0].spoil(&tag, Spoil::StopShort);
-        }
-        front.ask_as(&tag, &CLIP);
-        wait_until(3.0, || !front.heard(&tag).is_empty());
-        if nodes[0].session(&tag).is_some() {
-            break;
-        }
-    }
-    if nodes[0].session(&tag).is_none() {
-        return could_not("no SETUP went to the first node");
-    }
-    note(format!("check     {tag} is the session whose answer the first node gave"));
-    sleep(3.0);
-    let twice = stands_at(&nodes, &tag).len();
-    // The viewer ends its session.
-    front.finish(&tag);
-    let over = now();
-    sleep(LEFT_STANDING + 1.0);
-    let left = stands_at(&nodes, &tag);
-    let released = nodes[0].received("FINISH", &tag);
-    if director.has_crashed() {
-        return Verdict::Broken("the director crashed".to_string());
-    }
-    let text = format!(
-        "the session stood at {twice} nodes at once; {:.1} s after its viewer ended it, it stands at {} ({} releases reached the node of the first SETUP)",
-        now() - over,
-        left.len(),
-        released.len()
-    );
-    if left.is_empty() { Verdict::Held(text) } else { Verdict::Broken(text) }
-}
-
 /// A machine vanishes, another node takes its address, and the list tells of both late.
 pub fn address(trouble: bool) -> Verdict {
     let (bus, nodes) = start_nodes(6);
-    let settings = Settings { streams: 32, may_probe: false };
+    let settings = Settings::default();
     let Some(mut director) = Director::start(&bus, &settings) else { return could_not("the director did not start") };
     sleep(2.5);
     let mut viewers = Vec::new();
@@ -193,7 +142,7 @@
 /// A node is cut off for 6 s, and its sessions play on.
 pub fn cut(trouble: bool) -> Verdict {
     let (bus, nodes) = start_nodes(6);
-    let settings = Settings { streams: 32, may_probe: false };
+    let settings = Settings::default();
     let Some(mut director) = Director::start(&bus, &settings) else { return could_not("the director did not start") };
     sleep(2.5);
     let mut viewers = Vec::new();
@@ -230,7 +179,7 @@
 /// A node drains while the director stands still; a request arrives meanwhile, later.
 pub fn drain(trouble: bool) -> Verdict {
     let (bus, nodes) = start_nodes(6);
-    let settings = Settings { streams: 32, may_probe: false };
+    let settings = Settings::default();
     let Some(mut director) = Director::start(&bus, &settings) else { return could_not("the director did not start") };
     sleep(2.5);
     // Titles that lie at the first two nodes only.
@@ -271,7 +220,7 @@
 /// An answer has the full length that a message may have.
 pub fn long(trouble: bool) -> Verdict {
     let (bus, nodes) = start_nodes(3);
-    let settings = Settings { streams: 32, may_probe: false };
+    let settings = Settings::default();
     let Some(mut director) = Director::start(&bus, &settings) else { return could_not("the director did not start") };
     sleep(2.5);
     let Some(front) = Viewer::connect(director.address) else { return could_not("no connection") };
@@ -292,13 +241,14 @@
     if heard.is_empty() { Verdict::Broken(text) } else { Verdict::Held(text) }
 }
 
-/// A session ends at its node while an answer that stops short blocks one of two connections.
-pub fn unheard(trouble: bool) -> Verdict {
+/// A good answer stops short on one of two connections to a node, on which sessions stand that end just then.
+pub fn spoilt(trouble: bool) -> Verdict {
     let (bus, nodes) = start_nodes(2);
-    let settings = Settings { streams: 32, may_probe: false };
+    let settings = Settings::default();
     let Some(mut director) = Director::start(&bus, &settings) else { return could_not("the director did not start") };
     sleep(2.5);
     let Some(front) = Viewer::connect(director.address) else { return could_not("no connection") };
+    // A crowd comes at once, so that each node gets more SETUPs than one connection carries.
     let warm: Vec<String> = (0..8).map(|_| front.ask(&CLIP)).collect();
     wait_until(3.0, || warm.iter().all(|tag| front.started(tag)));
     nodes.iter().for_each(|node| node.set_answer_delay(0.2));
@@ -309,6 +259,7 @@
         return could_not("a node has one connection only");
     }
     sleep(1.0);
+    // One answer of the first node stops short on its way: that of the next SETUP that it gets.
     let mut tag = String::new();
     for number in 0..20 {
         tag = format!("5eed0000000000{:02x}", 0x80 + number);
@@ -316,26 +267,86 @@
             nodes[0].spoil(&tag, Spoil::StopShort);
         }
         front.ask_as(&tag, &CLIP);
-        if wait_until(1.0, || nodes[0].session(&tag).is_some() || front.started(&tag)) && nodes[0].session(&tag).is_some() {
+        wait_until(1.0, || nodes[0].session(&tag).is_some() || front.started(&tag));
+        if nodes[0].session(&tag).is_some() {
             break;
         }
     }
     let Some(connection) = nodes[0].connection_of(&tag) else { return could_not("no SETUP went to the first node") };
-    // Sessions of the crowd on that connection come to their end meanwhile.
-    let ending: Vec<String> = crowd.iter().filter(|tag| nodes[0].connection_of(tag) == Some(connection)).cloned().collect();
+    // Five sessions that were set up on that connection come to their end meanwhile.
+    let ending: Vec<&String> =
+        crowd.iter().filter(|tag| nodes[0].connection_of(tag) == Some(connection)).take(5).collect();
+    if ending.is_empty() {
+        return could_not("no session was set up on that connection");
+    }
     sleep(0.05);
     ending.iter().for_each(|tag| nodes[0].end_session(tag));
     let over = now();
-    note(format!("check     {} sessions of that connection have ended", ending.len()));
-    sleep(LEFT_STANDING + 2.0);
+    note(format!("check     {tag}: its answer came on connection {connection}; {} sessions of it have ended", ending.len()));
+    sleep(3.0);
+    let nodes_at_once = stands_at(&nodes, &tag).len();
+    // The viewer ends its session.
+    front.finish(&tag);
+    sleep(LEFT_STANDING + 1.0);
     if director.has_crashed() {
         return Verdict::Broken("the director crashed".to_string());
     }
-    if ending.is_empty() {
-        return could_not("no session was set up on that connection");
-    }
-    let untold =
-        ending.iter().filter(|tag| front.told_over(tag).is_none_or(|at| at - over > LEFT_STANDING)).count();
-    let text = format!("{} sessions ended at their node; {untold} viewers were not told within 8.05 s", ending.len());
+    let is_late = |at: f64| at - over > LEFT_STANDING;
+    let untold = ending.iter().filter(|tag| front.told_over(tag).is_none_or(is_late)).count();
+    let text = format!(
+        "{} sessions ended at their node, {untold} of their viewers were not told within 8.05 s; the session of the SETUP stood at {nodes_at_once} nodes at once and is left standing at {} after its viewer ended it",
+        ending.len(),
+        stands_at(&nodes, &tag).len()
+    );
     if untold == 0 { Verdict::Held(text) } else { Verdict::Broken(text) }
 }
+
+/// Bad clients send hundreds of requests at once, again and again, beside the usual viewers.
+pub fn crowd(trouble: bool) -> Verdict {
+    let (clients, seconds, memory_mb) = (300, 25.0, 32);
+    let (bus, nodes) = start_nodes(6);
+    let settings = Settings { memory_mb, sockets: 1024, ..Settings::default() };
+    let Some(mut director) = Director::start(&bus, &settings) else { return could_not("the director did not start") };
+    sleep(2.5);
+    let (traffic, until) = (Arc::new(BadTraffic::default()), now() + seconds);
+    let mut threads = Vec::new();
+    if trouble {
+        for number in 0..clients {
+            let (address, traffic) = (director.address, traffic.clone());
+            threads.push(thread::spawn(move || send_hundreds(number, address, until, &traffic)));
+        }
+    }
+    let limit = memory_mb as u64 * 1024;
+    let (mut most, mut over_at, mut viewers) = (0, None, Vec::new());
+    while now() < until {
+        // A usual viewer each half second.
+        if let Some(viewer) = Viewer::connect(director.address) {
+            let tag = viewer.ask(&CLIP);
+            viewers.push((viewer, tag));
+        }
+        for _ in 0..10 {
+            sleep(0.05);
+            let memory = director.memory_kib().unwrap_or(0);
+            most = most.max(memory);
+            if memory > limit && over_at.is_none() {
+                over_at = Some(now());
+            }
+        }
+        let (sent, answered) = (traffic.sent.load(Ordering::SeqCst), traffic.answered.load(Ordering::SeqCst));
+        let errors: u64 = nodes.iter().map(|node| node.turned_away.load(Ordering::SeqCst)).sum();
+        note(format!(
+            "memory    {} KiB; bad clients: {} connections, {sent} sent, {answered} answered, {errors} errors of nodes",
+            director.memory_kib().unwrap_or(0),
+            traffic.connections.load(Ordering::SeqCst)
+        ));
+        if director.has_crashed() {
+            return Verdict::Broken("the director crashed".to_string());
+        }
+    }
+    threads.into_iter().for_each(|thread| drop(thread.join()));
+    let text = format!("at most {most} KiB of its own, {limit} are allowed; {} usual viewers", viewers.len());
+    match over_at {
+        None => Verdict::Held(text),
+        Some(at) => Verdict::Broken(format!("{text}; over the limit from {at:.1} s on: the director is killed")),
+    }
+}
--- a/review/stage-2/src/main.rs
+++ b/review/stage-2/src/main.rs
@@ -37,7 +37,7 @@
         "cut" => cases::cut(trouble),
         "drain" => cases::drain(trouble),
         "long" => cases::long(trouble),
-        "unheard" => cases::unheard(trouble),
+        "crowd" => cases::crowd(trouble),
         _ => Verdict::CouldNotRun("no such case".to_string()),
     };
     let verdict = std::panic::catch_unwind(play)
--- a/review/stage-2/src/world.rs
+++ b/review/stage-2/src/world.rs
@@ -232,8 +232,13 @@
     state: Mutex<NodeState>,
     changed: Condvar,
     fillers: Mutex<Vec<TcpStream>>,
+    /// SETUPs of bad clients that were answered with an error.
+    pub turned_away: AtomicU64,
 }
 
+/// The ids of bad clients' requests begin with this.
+pub const BAD_TAG: &str = "0bad";
+
 impl Node {
     pub fn start(name: &str) -> Arc<Node> {
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
@@ -245,6 +250,7 @@
             state: Mutex::new(NodeState { name: name.to_string(), answer_delay: 0.02, ..NodeState::default() }),
             changed: Condvar::new(),
             fillers: Mutex::new(Vec::new()),
+            turned_away: AtomicU64::new(0),
         });
         let server = node.clone();
         thread::spawn(move || server.accept());
@@ -421,6 +427,11 @@
                 note(format!("{:9} connection {id} closed by the director", self.name()));
                 return;
             }
+            if field(&line, "tag").is_some_and(|tag| tag.starts_with(BAD_TAG)) {
+                drop(state);
+                self.turn_away(id, &line);
+                continue;
+            }
             state.received.push((now(), line.clone()));
             drop(state);
             note(format!("{:9} <- {id} {}", self.name(), short(&line)));
@@ -428,6 +439,21 @@
         }
     }
 
+    /// Answers what a bad client's request brings: an error, which is not written to the record one by one.
+    fn turn_away(&self, connection: u64, line: &str) {
+        let (Some(verb), Some(tag)) = (field(line, "verb"), field(line, "tag")) else { return };
+        let reply = match verb {
+            "START" => format!("{{\"verb\":\"FINISH\",\"tag\":\"{tag}\",\"opts\":{{}},\"rc\":47}}\n"),
+            "FINISH" => format!("{{\"verb\":\"FINISHED\",\"tag\":\"{tag}\",\"opts\":{{}}}}\n"),
+            _ => return,
+        };
+        self.turned_away.fetch_add(u64::from(verb == "START"), Ordering::SeqCst);
+        let mut state = self.state.lock().unwrap();
+        if let Some(open) = state.connections.iter_mut().find(|c| c.id == connection) {
+            let _ = open.stream.write_all(reply.as_bytes());
+        }
+    }
+
     fn name(&self) -> String {
         self.state.lock().unwrap().name.clone()
     }
@@ -611,6 +637,51 @@
     }
 }
 
+// Bad clients
+
+/// What bad clients sent and got.
+#[derive(Default)]
+pub struct BadTraffic {
+    pub connections: AtomicU64,
+    pub sent: AtomicU64,
+    pub answered: AtomicU64,
+}
+
+/// A bad client: hundreds of requests at once, and the same again as soon as they are turned away. It sends at full speed
+/// and reads what is sent to it.
+pub fn send_hundreds(number: usize, address: SocketAddr, until: f64, traffic: &Arc<BadTraffic>) {
+    let mut next: u64 = 0;
+    let text = "y".repeat(15_700);
+    while now() < until {
+        let Ok(mut stream) = TcpStream::connect_timeout(&address, Duration::from_secs(2)) else {
+            sleep(0.05);
+            continue;
+        };
+        let _ = stream.set_write_timeout(Some(Duration::from_secs(3)));
+        traffic.connections.fetch_add(1, Ordering::SeqCst);
+        let mut sent = 0;
+        for _ in 0..400 {
+            next += 1;
+            let line = format!(
+                "{{\"verb\":\"START\",\"tag\":\"{BAD_TAG}{number:04x}{next:08x}\",\"opts\":{{\"class\":\"clip\",\"left\":\"3000\",\"key\":\"7f3a9c21e0b4d655\",\"extras\":\"home:0;copies:8;top:1;viewer:00000000b4d65521\"}},\"blob\":\"{text}\"}}\n"
+            );
+            if stream.write_all(line.as_bytes()).is_err() {
+                break;
+            }
+            sent += 1;
+            traffic.sent.fetch_add(1, Ordering::SeqCst);
+        }
+        // The answers to all of them fit into the socket's buffer, so that reading them now keeps nobody waiting.
+        let _ = stream.set_read_timeout(Some(Duration::from_secs(3)));
+        let (mut reader, mut line, mut answered) = (BufReader::new(stream), String::new(), 0);
+        while answered < sent && reader.read_line(&mut line).is_ok_and(|read| read > 0) {
+            answered += 1;
+            traffic.answered.fetch_add(1, Ordering::SeqCst);
+            line.clear();
+        }
+    }
+}
+
 // The director
 
 /// A director's process, started as the deploy file does.
@@ -625,7 +696,14 @@
 pub struct Settings {
     /// SETUPs that one connection to a node may carry.
     pub streams: usize,
-    pub may_probe: bool,
+    pub memory_mb: usize,
+    pub sockets: usize,
+}
+
+impl Default for Settings {
+    fn default() -> Settings {
+        Settings { streams: 32, memory_mb: 96, sockets: 512 }
+    }
 }
 
 impl Director {
@@ -635,13 +713,13 @@
         let folder = std::env::temp_dir().join(format!("stage-2-{}", std::process::id()));
         std::fs::create_dir_all(&folder).ok()?;
         let path = folder.join("config.json");
-        let (streams, probing) = (settings.streams, settings.may_probe);
+        let Settings { streams, memory_mb, sockets } = settings;
         let text = format!(
             r#"{{"name":"n1","listen":"{address}","seed":"{:x}","bus":"{}",
-            "limits":{{"cores":1.0,"memory_mb":96,"sockets":512}},"known":{},
+            "limits":{{"cores":1.0,"memory_mb":{memory_mb},"sockets":{sockets}}},"known":{},
             "settings":{{"balancers":2,"myNumber":0,"myZone":0,"azs":["east"],"hostTypes":["std"],
             "familyInfo":{{"ladderKb":[100,200],"levelWorth":[0.5,1],"linkUnitKb":20000,"positions":8,"kindStreams":[400],"see":800}},
-            "limits":{{"mostTries":3,"cancelling":true,"probing":{probing},"dialTimeout":250,"maxStreams":{streams}}},
+            "limits":{{"mostTries":3,"cancelling":true,"probing":false,"dialTimeout":250,"maxStreams":{streams}}},
             "rules":{{"drainGrace":500,"fall":2000,"fallMultiple":2,"startCapacity":0.9,"warmAfter":1000}},
             "telemetry":{{"fields":["x0"],"via":"piggyback"}},
             "services":[{{"name":"clip","aim":1000,"deadline":3000,"credit":1,"effect":"retryable","group":"all","repeatWindow":0}},
@@ -712,6 +790,13 @@
         note("director  goes on");
     }
 
+    /// Memory that the process holds of its own, without the pages of its program file, in KiB.
+    pub fn memory_kib(&self) -> Option<u64> {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id())).ok()?;
+        let line = status.lines().find_map(|line| line.strip_prefix("RssAnon:"))?;
+        line.split_whitespace().next()?.parse().ok()
+    }
+
     /// Whether the process has ended by itself.
     pub fn has_crashed(&mut self) -> bool {
         self.child.try_wait().ok().flatten().is_some()
