--- a/review/9/run.sh
+++ b/review/9/run.sh
@@ -5,7 +5,7 @@
 cd "$here/../.." || exit 2
 stage=review/stage-2/target/release/stage-2
 [ -x target/release/ashglade ] && [ -x "$stage" ] || { echo "COULD NOT RUN: build first" >&2; exit 2; }
-"$stage" cut "$here/record.txt" &
+"$stage" spoilt "$here/record.txt" &
 pid=$!
 trap 'kill "$pid" 2>/dev/null' INT TERM HUP
 wait "$pid"
--- a/review/stage-2/src/cases.rs
+++ b/review/stage-2/src/cases.rs
@@ -176,13 +176,13 @@
     if left.is_empty() { Verdict::Held(text) } else { Verdict::Broken(text) }
 }
 
-/// A node drains while the director stands still; a request arrives meanwhile, later.
-pub fn drain(trouble: bool) -> Verdict {
+/// A node is replaced at its address while the director stands still; requests arrive later, but still meanwhile.
+pub fn replaced(trouble: bool) -> Verdict {
     let (bus, nodes) = start_nodes(6);
     let settings = Settings::default();
     let Some(mut director) = Director::start(&bus, &settings) else { return could_not("the director did not start") };
     sleep(2.5);
-    // Titles that lie at the first two nodes only.
+    // Titles that lie at the first two positions only.
     let request = Request { class: "clip", left_ms: 3000, home: 0, copies: 2 };
     let Some(front) = Viewer::connect(director.address) else { return could_not("no connection") };
     let warm: Vec<String> = (0..8).map(|_| front.ask(&request)).collect();
@@ -195,7 +195,10 @@
         director.pause();
     }
     sleep(0.1);
-    bus.publish(&[endpoint(&nodes[0].first_name, nodes[0].address, 0, "draining")], false);
+    nodes[0].replace_process("s-9");
+    // The new node is at position 5, where these titles don't lie.
+    let gone = endpoint(&nodes[0].first_name, nodes[0].address, 0, "removed");
+    bus.publish(&[gone, endpoint("s-9", nodes[0].address, 5, "up")], false);
     let told = now();
     sleep(begin + 1.7 - now());
     let tags: Vec<String> = (0..8).map(|_| front.ask(&request)).collect();
@@ -203,18 +206,22 @@
     if trouble {
         director.go_on();
     }
-    sleep(4.0);
+    sleep(5.0);
     if director.has_crashed() {
         return Verdict::Broken("the director crashed".to_string());
     }
-    let late: Vec<String> = tags
+    let wrong: Vec<String> = tags
         .iter()
         .flat_map(|tag| nodes[0].received("START", tag).into_iter().map(move |at| (tag, at)))
         .filter(|(_, at)| at - told > 0.5 + 0.05)
         .map(|(tag, at)| format!("{tag} {:.3} s after it was told", at - told))
         .collect();
-    let text = format!("{} SETUPs reached the draining node later than 0.55 s after it was told", late.len());
-    if late.is_empty() { Verdict::Held(text) } else { Verdict::Broken(format!("{text}: {}", late.join(", "))) }
+    let text = format!(
+        "{} of {} SETUPs for titles of s-0 reached s-9, which doesn't hold them, later than 0.55 s after it was told that s-0 is removed",
+        wrong.len(),
+        tags.len()
+    );
+    if wrong.is_empty() { Verdict::Held(text) } else { Verdict::Broken(format!("{text}: {}", wrong.join(", "))) }
 }
 
 /// An answer has the full length that a message may have.
--- a/review/stage-2/src/main.rs
+++ b/review/stage-2/src/main.rs
@@ -35,7 +35,7 @@
         "spoilt" => cases::spoilt(trouble),
         "address" => cases::address(trouble),
         "cut" => cases::cut(trouble),
-        "drain" => cases::drain(trouble),
+        "replaced" => cases::replaced(trouble),
         "long" => cases::long(trouble),
         "crowd" => cases::crowd(trouble),
         _ => Verdict::CouldNotRun("no such case".to_string()),
--- a/review/stage-2/src/world.rs
+++ b/review/stage-2/src/world.rs
@@ -222,6 +222,8 @@
     spoil: BTreeMap<String, Spoil>,
     answer_delay: f64,
     answer_bytes: usize,
+    /// What arrives is of no use to this node, which answers "error".
+    refuses: bool,
 }
 
 /// A media node. Sessions play until the case ends them.
@@ -346,6 +348,21 @@
         note(format!("{:9} vanishes with its sessions", self.first_name));
     }
 
+    /// The process ends: its connections are reset and its sessions are cut. Another node's process starts at the address.
+    pub fn replace_process(&self, name: &str) {
+        let at = now();
+        let mut state = self.state.lock().unwrap();
+        for session in state.sessions.values_mut().filter(|session| session.ended.is_none()) {
+            session.ended = Some(at);
+        }
+        state.repeated.clear();
+        for connection in state.connections.drain(..) {
+            let _ = connection.stream.shutdown(std::net::Shutdown::Both);
+        }
+        (state.name, state.refuses) = (name.to_string(), true);
+        note(format!("{:9} ends with its sessions; {name} starts at its address", self.first_name));
+    }
+
     /// Another node starts at the address.
     pub fn take_address(&self, name: &str) {
         note(format!("{name:9} starts at the address of {}", self.first_name));
@@ -496,6 +513,11 @@
             if cancelled {
                 return;
             }
+            if state.refuses {
+                drop(state);
+                let line = format!("{{\"verb\":\"FINISH\",\"tag\":\"{tag}\",\"opts\":{{}},\"rc\":47}}\n");
+                return self.send(connection, &line);
+            }
             let session = NodeSession { ended: None, connection };
             state.sessions.insert(tag.to_string(), session);
             (state.spoil.remove(tag), state.answer_bytes)
