Answers: a node's answer of the longest length reaches its viewer or is refused

What callers saw: a node's answer of 16,384 bytes, the longest message of the protocol, was never passed on.

Cause: message::encode counted the line feed and line_decoder doesn't, so that such a line could be read and not written. send_answer marked the request as answered before it knew whether there was a line, and sent nothing where encode gave nothing. The same loss met an answer whose node left out an empty field, which is longer when it is encoded anew.

Ruled out: the answer is not refused while it is read (the session counts as playing), and the viewer's queue is not full (it would be logged).

Lines at fault: message.rs, encode; gateway.rs, send_answer.

The fix: both directions have the same limit, and the viewer's line is encoded when the node's answer arrives. If that fails, the SETUP counts as lost and its session is released at the node, so that no request is marked as answered without a line.

--- a/crates/platform/src/gateway.rs
+++ b/crates/platform/src/gateway.rs
@@ -177,8 +177,8 @@
     /// The process of the node at which the session plays; `None` if the session was handed over and the node has
     /// not named it since.
     pub process: Option<ProcessId>,
-    /// Session description of the node's answer, until it is forwarded.
-    pub description: Option<String>,
+    /// The answer for the viewer with the node's session description, until it is sent.
+    pub started_line: Option<Bytes>,
     /// The answer has been sent, or no one waits for one.
     pub answered: bool,
     /// The release of a session that has ended before its answer was sent: the viewer gets it after the answer.
@@ -436,7 +436,7 @@
             setup_sent: false,
             playing_at,
             process: None,
-            description: None,
+            started_line: None,
             answered,
             release_after_answer: None,
         };
@@ -518,14 +518,10 @@
         let still_plays = plays && state.playing_at.is_some();
         // A viewer that is refused knows of no session that could be released.
         let release = state.release_after_answer.take().filter(|_| plays);
-        let description = state.description.take();
-        let line = match &description {
-            Some(text) if plays => message::encode(Verb::Started, tag, &[], None, Some(text)),
-            _ => {
-                let cause = causes::answer_cause(&answer, state.setup_sent);
-                message::encode(Verb::Finish, tag, &[], Some(cause), None)
-            }
-        };
+        let line = state.started_line.take().filter(|_| plays).or_else(|| {
+            let cause = causes::answer_cause(&answer, state.setup_sent);
+            message::encode(Verb::Finish, tag, &[], Some(cause), None)
+        });
         if let Some(connection) = self.downstreams.get_mut(&downstream) {
             connection.pending.remove(&session);
             connection.idle_since = now;
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -26,6 +26,8 @@
 pub use message::{Message, Tag, Verb};
 pub use resource_limits::ResourceLimits;
 
+#[cfg(test)]
+mod answer_length_tests;
 #[cfg(test)]
 mod byte_budget_tests;
 #[cfg(test)]
--- a/crates/platform/src/message.rs
+++ b/crates/platform/src/message.rs
@@ -210,8 +210,8 @@
     blob: Option<&'a str>,
 }
 
-/// Encodes a message as one line that ends in a line feed. Returns `None` if the line, line feed included,
-/// would exceed [`line_decoder::MAX_LINE_BYTES`].
+/// Encodes a message as one line that ends in a line feed. Returns `None` if the message, without the line feed,
+/// would exceed [`line_decoder::MAX_LINE_BYTES`]: the same limit as for received messages.
 pub fn encode(
     verb: Verb,
     tag: Tag,
@@ -222,6 +222,9 @@
     let opts = opts.iter().copied().collect();
     let outgoing = OutgoingMessage { verb, tag: tag.as_str(), opts, rc: cause, blob: description };
     let mut line = serde_json::to_vec(&outgoing).ok()?;
+    if line.len() > line_decoder::MAX_LINE_BYTES {
+        return None;
+    }
     line.push(b'\n');
-    (line.len() <= line_decoder::MAX_LINE_BYTES).then(|| line.into())
+    Some(line.into())
 }
--- a/crates/platform/src/upstream/node_messages.rs
+++ b/crates/platform/src/upstream/node_messages.rs
@@ -4,12 +4,12 @@
 use ashglade::interface::{AttemptOutcome, LoadMetric};
 use ashglade::time::Instant;
 use ashglade_engine::{Input, LoadReport};
-use tracing::{debug, trace};
+use tracing::{debug, trace, warn};
 
 use crate::causes;
 use crate::early_ends::EarlyEnd;
 use crate::gateway::{Gateway, UpstreamId};
-use crate::message::{Message, Tag, Verb, parse_finite};
+use crate::message::{self, Message, Tag, Verb, parse_finite};
 
 /// What a received message is about.
 struct Subject {
@@ -109,10 +109,14 @@
                 return self.close_on_protocol_error(now, upstream);
             };
             self.clear_attempt(session);
+            let Some(started_line) = message::encode(Verb::Started, tag, &[], None, Some(&description))
+            else {
+                return self.reject_oversized_answer(now, subject, session, setup);
+            };
             let process = self.upstreams.get(&upstream).map(|connection| connection.process);
             if let Some(state) = self.sessions.get_mut(&session) {
                 (state.playing_at, state.process) = (Some((node, now)), process);
-                (state.description, state.request) = (Some(description), None);
+                (state.started_line, state.request) = (Some(started_line), None);
             }
             self.session_plays(now, session, node);
             self.inputs.push(Input::SetupAccepted { session, setup, load });
@@ -125,6 +129,23 @@
         }
     }
 
+    /// Fails a SETUP whose answer is too long to be passed on unchanged, and releases its session at the node:
+    /// encoded anew, a message can be longer than its sender wrote it.
+    fn reject_oversized_answer(
+        &mut self,
+        now: Instant,
+        subject: &Subject,
+        session: SessionId,
+        setup: SetupNumber,
+    ) {
+        let &Subject { node, tag, load, .. } = subject;
+        warn!(%tag, "a node's answer exceeds the length of a message; releasing the session");
+        self.send_to_node(now, node, Verb::Finish, tag, &[], Some(causes::NORMAL_RELEASE));
+        let outcome = AttemptOutcome::Lost;
+        self.inputs.push(Input::SetupFailed { session, setup, outcome, load });
+        self.remove_if_finished(session);
+    }
+
     /// Handles a release: it refuses a SETUP, or ends a playing session.
     fn node_released_session(&mut self, now: Instant, subject: &Subject, cause: Option<u16>) {
         let &Subject { upstream, node, tag, load, .. } = subject;
