Engine: timers of answered requests are removed and don't pile up

Cause: timers were never cancelled. The response deadline and the SETUP deadline of each request stayed in the queue for the rest of its setup timeout, also if it had been answered at once, so that their number followed the rate and not the bounded number of sessions.

Lines at fault: timers.rs, TimerQueue (nothing but pop_due removed a timer).

The fix: once the queue is twice as long as after the last removal, timers that no longer apply are removed together. At most as many as the sessions, probes and the policy can have apply, so the queue is bounded by twice that. A timer that is removed would have been ignored when it fired.

--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -148,6 +148,11 @@
         self.timers.next_deadline()
     }
 
+    /// Returns the number of timers, including those that no longer apply and have not been removed yet.
+    pub fn timer_count(&self) -> usize {
+        self.timers.len()
+    }
+
     /// Returns the counters since the start.
     pub fn tally(&self) -> &Tally {
         &self.sessions.tally
@@ -196,6 +201,7 @@
             &mut sink,
         );
         self.complete_admissions(now, &effects);
+        self.compact_timers();
         if self.draining && !self.drained && self.sessions.is_empty() {
             self.drained = true;
             effects.push(Effect::Drained);
@@ -203,6 +209,25 @@
         effects
     }
 
+    /// Removes timers of requests that have been answered, and of SETUPs and probes that have ended.
+    fn compact_timers(&mut self) {
+        let (sessions, probes) = (&self.sessions, &self.probes);
+        let is_pending = |session, setup| {
+            let pending = sessions.get(session).and_then(|state| state.pending_setup.as_ref());
+            pending.is_some_and(|pending| pending.number == setup)
+        };
+        self.timers.compact(|timer| match timer {
+            Timer::SetupDeadline(session, setup)
+            | Timer::CancelGrace(session, setup)
+            | Timer::TitleMissing(session, setup) => is_pending(session, setup),
+            Timer::ResponseDeadline(session) => {
+                sessions.get(session).is_some_and(|state| !state.answered && !state.viewer_left)
+            }
+            Timer::ProbeTimeout(probe) => probes.contains_key(&probe),
+            Timer::Policy(_) | Timer::Admission | Timer::DeliveryReport => true,
+        });
+    }
+
     /// Gives up rights whose lease has expired, whether or not an input has reported the expiry yet.
     fn expire_leases(&mut self, now: Instant, events: &mut Vec<PolicyEvent>) {
         if let Some(lease) = self.slow_start_lease.take_if(|lease| lease.at <= now) {
--- a/crates/engine/src/tests.rs
+++ b/crates/engine/src/tests.rs
@@ -650,3 +650,27 @@
     "#]]
     .assert_eq(&traces.concat());
 }
+
+/// Guards against memory that grows with the rate at which requests arrive: the timers of requests that had been
+/// answered stayed until their setup timeout.
+#[test]
+fn timers_of_answered_requests_do_not_accumulate() {
+    let mut harness = Harness::new(RetrySafety::Safe);
+    let max_timers = 2 * 1024 + 3 * config(RetrySafety::Safe).max_sessions;
+    for session in 1..=20_000 {
+        let ms = 1000.0 + session as f64 * 0.01;
+        harness.request(ms, session);
+        let viewer_left = Input::ViewerLeft { session: SessionId(session) };
+        harness.round(ms, vec![viewer_left]);
+        harness.trace.clear();
+        let failed = Input::SetupFailed {
+            session: SessionId(session),
+            setup: SetupNumber(0),
+            outcome: AttemptOutcome::Unsent,
+            load: None,
+        };
+        harness.round(ms, vec![failed]);
+        let timers = harness.engine.timer_count();
+        assert!(timers <= max_timers, "{timers} timers after {session} requests");
+    }
+}
--- a/crates/engine/src/timers.rs
+++ b/crates/engine/src/timers.rs
@@ -1,5 +1,6 @@
-//! Timer queue of the engine. Timers are never cancelled: one that no longer applies is recognized and
-//! ignored when it fires.
+//! Timer queue of the engine. Timers are not cancelled one by one: one that no longer applies is ignored when it
+//! fires, and all of them are removed together once they may be as many as the timers that apply. A peer that
+//! sends requests at any rate can't make the queue grow by the timers of those that have been answered.
 
 use std::collections::BTreeSet;
 
@@ -27,37 +28,60 @@
     DeliveryReport,
 }
 
+/// Number of timers up to which obsolete ones are not looked for.
+const MIN_COMPACTION_LENGTH: usize = 1024;
+
 /// Timers ordered by the instant at which they fire.
-#[derive(Debug, Default)]
-pub struct TimerQueue(BTreeSet<(Instant, Timer)>);
+#[derive(Debug)]
+pub struct TimerQueue {
+    timers: BTreeSet<(Instant, Timer)>,
+    /// Number of timers beyond which the obsolete ones are removed.
+    compaction_length: usize,
+}
+
+impl Default for TimerQueue {
+    fn default() -> TimerQueue {
+        TimerQueue { timers: BTreeSet::new(), compaction_length: MIN_COMPACTION_LENGTH }
+    }
+}
 
 impl TimerQueue {
     /// Adds a timer that fires at `at`.
     pub fn schedule(&mut self, at: Instant, timer: Timer) {
-        self.0.insert((at, timer));
+        self.timers.insert((at, timer));
+    }
+
+    /// Removes the timers that no longer apply, once the queue is twice as long as it was after the last removal:
+    /// the cost for each scheduled timer is constant on average.
+    pub fn compact(&mut self, applies: impl Fn(Timer) -> bool) {
+        if self.timers.len() <= self.compaction_length {
+            return;
+        }
+        self.timers.retain(|&(_, timer)| applies(timer));
+        self.compaction_length = MIN_COMPACTION_LENGTH.max(self.timers.len() * 2);
     }
 
     /// Returns when the next timer fires.
     pub fn next_deadline(&self) -> Option<Instant> {
-        self.0.first().map(|&(at, _)| at)
+        self.timers.first().map(|&(at, _)| at)
     }
 
     /// Removes and returns the earliest timer that is due. Timers of the same instant come in a fixed order.
     pub fn pop_due(&mut self, now: Instant) -> Option<Timer> {
-        let &(at, timer) = self.0.first()?;
+        let &(at, timer) = self.timers.first()?;
         (at <= now).then(|| {
-            self.0.pop_first();
+            self.timers.pop_first();
             timer
         })
     }
 
-    /// Returns the number of pending timers, which is bounded by the sessions, the outstanding probes and the
-    /// timers that the policy set.
+    /// Returns the number of timers: at most about twice those that apply, which the sessions, the outstanding
+    /// probes and the policy bound.
     pub fn len(&self) -> usize {
-        self.0.len()
+        self.timers.len()
     }
 
     pub fn is_empty(&self) -> bool {
-        self.0.is_empty()
+        self.timers.is_empty()
     }
 }
