Policy: windows of recent events have a bounded number of entries

Cause: EventWindow kept one entry for each request for the whole window of the retry budget, and count() reads all of them.

Lines at fault: state.rs, EventWindow::record.

The fix: up to 4,096 entries the window is exact, as before.

--- a/src/state.rs
+++ b/src/state.rs
@@ -318,22 +318,47 @@
     }
 }
 
-/// The times of the events within a sliding window.
+/// Number of distinct times up to which an event window is exact, and number of parts of the window that are told
+/// apart beyond it.
+const WINDOW_RESOLUTION: usize = 4096;
+
+/// Events that count as having occurred at the same time.
+#[derive(Clone, Copy)]
+struct EventGroup {
+    at: Instant,
+    events: u32,
+}
+
+/// The times of the events within a sliding window. However many events occur, its memory is bounded: beyond
+/// [`WINDOW_RESOLUTION`] entries, events that follow each other closely count from the time of the first of them,
+/// so that the window never counts an event for too long.
 #[derive(Clone, Default)]
-pub struct EventWindow(VecDeque<Instant>);
+pub struct EventWindow(VecDeque<EventGroup>);
 
 impl EventWindow {
     /// Records an event and forgets those before the window.
     pub fn record(&mut self, now: Instant, window: Span) {
-        while self.0.front().is_some_and(|&at| now - at > window) {
+        while self.0.front().is_some_and(|group| now - group.at > window) {
             self.0.pop_front();
         }
-        self.0.push_back(now);
+        let is_crowded = self.0.len() >= WINDOW_RESOLUTION;
+        match self.0.back_mut() {
+            Some(last) if is_crowded && now - last.at < window * (1.0 / WINDOW_RESOLUTION as f64) => {
+                last.events = last.events.saturating_add(1);
+            }
+            _ => self.0.push_back(EventGroup { at: now, events: 1 }),
+        }
     }
 
     /// Returns the number of events within the window that ends now.
     pub fn count(&self, now: Instant, window: Span) -> f64 {
-        self.0.iter().filter(|&&at| now - at <= window).count() as f64
+        let recent = self.0.iter().filter(|group| now - group.at <= window);
+        recent.map(|group| f64::from(group.events)).sum()
+    }
+
+    /// Returns the number of entries, at most twice [`WINDOW_RESOLUTION`] and one.
+    pub fn entry_count(&self) -> usize {
+        self.0.len()
     }
 }
 
