Event loop: the state is logged at its interval under a flood, with the bytes held

Cause: the intervals were branches of a biased select behind the events of connections, which are always ready in a flood.

The lines are now checked after each wait, whatever ended it, and `state` also has the queued SETUPs and the bytes of held requests, of received messages and of the lines queued in each direction.

--- a/crates/platform-director/src/event_loop.rs
+++ b/crates/platform-director/src/event_loop.rs
@@ -13,7 +13,7 @@
 use tokio::net::TcpListener;
 use tokio::sync::{OwnedSemaphorePermit, Semaphore, mpsc, oneshot};
 use tokio::task::yield_now;
-use tokio::time::{MissedTickBehavior, timeout_at};
+use tokio::time::timeout_at;
 use tracing::{debug, info};
 
 use crate::command_queue::{CommandSender, ConnectionCommand};
@@ -68,6 +68,11 @@
         }
     }
 
+    /// Returns the number of bytes of received messages that have not been processed.
+    fn held_bytes(&self) -> usize {
+        self.max_received_bytes - self.received_bytes.available_permits()
+    }
+
     /// Sends what is not a message. Returns false if the event loop has ended.
     pub async fn send(&self, event: ConnectionEvent) -> bool {
         self.events.send(event).await.is_ok()
@@ -100,6 +105,28 @@
     }
 }
 
+/// A log line that is written at an interval.
+struct PeriodicLog {
+    interval: Duration,
+    due: tokio::time::Instant,
+}
+
+impl PeriodicLog {
+    fn every(interval: Duration) -> PeriodicLog {
+        PeriodicLog { interval, due: tokio::time::Instant::now() }
+    }
+
+    /// Returns whether the line is due, and schedules the next one if so.
+    fn is_due(&mut self) -> bool {
+        let now = tokio::time::Instant::now();
+        let is_due = self.due <= now;
+        if is_due {
+            self.due = now + self.interval;
+        }
+        is_due
+    }
+}
+
 /// Passes events and time to the gateway, and the gateway's actions to connections.
 pub struct EventLoop {
     gateway: Gateway,
@@ -162,9 +189,8 @@
     /// Runs until a drain has finished.
     pub async fn run(mut self) {
         let mut received = Vec::with_capacity(MAX_EVENTS_PER_BATCH);
-        let mut state_log = tokio::time::interval(STATE_LOG_INTERVAL);
-        let mut drain_log = tokio::time::interval(DRAIN_LOG_INTERVAL);
-        drain_log.set_missed_tick_behavior(MissedTickBehavior::Skip);
+        let mut state_log = PeriodicLog::every(STATE_LOG_INTERVAL);
+        let mut drain_log = PeriodicLog::every(DRAIN_LOG_INTERVAL);
         loop {
             let due =
                 if self.pending_events.is_empty() { self.gateway.next_deadline() } else { Instant::LONG_AGO };
@@ -180,10 +206,15 @@
                         yield_now().await;
                     }
                 }
-                _ = state_log.tick() => self.log_state(),
-                _ = drain_log.tick(), if self.gateway.shutdown().is_some() => {
-                    info!(open = %self.gateway.open_work(), "draining");
-                }
+                () = tokio::time::sleep_until(state_log.due) => {}
+                () = tokio::time::sleep_until(drain_log.due), if self.gateway.shutdown().is_some() => {}
+            }
+            // Whichever event ended the wait: a flood of events must not keep the state out of the log.
+            if state_log.is_due() {
+                self.log_state();
+            }
+            if self.gateway.shutdown().is_some() && drain_log.is_due() {
+                info!(open = %self.gateway.open_work(), "draining");
             }
             // Events that have arrived are processed before timers, whichever of them ended the wait.
             while let Ok(event) = self.priority_events.1.try_recv() {
@@ -311,7 +342,20 @@
     fn log_state(&self) {
         let [sessions, viewers, nodes, upstreams] = self.gateway.sizes();
         let tally = self.gateway.tally().cloned().unwrap_or_default();
-        info!(sessions, viewers, nodes, trunks = upstreams, ?tally, "state");
+        let (queued_setups, request_bytes) = self.gateway.held_requests();
+        info!(
+            sessions,
+            viewers,
+            nodes,
+            trunks = upstreams,
+            queued_setups,
+            request_bytes,
+            received_bytes = self.connection_events.0.held_bytes(),
+            viewer_line_bytes = self.downstream_line_bytes.used(),
+            node_line_bytes = self.upstream_line_bytes.used(),
+            ?tally,
+            "state"
+        );
     }
 }
 
--- a/crates/platform/src/gateway.rs
+++ b/crates/platform/src/gateway.rs
@@ -288,6 +288,11 @@
         [self.sessions.len(), self.downstreams.len(), self.nodes.len(), self.upstreams.len()]
     }
 
+    /// Returns the number of queued SETUP requests, and the bytes of all requests that have no answer.
+    pub fn held_requests(&self) -> (usize, usize) {
+        (self.setup_queue.len(), self.request_bytes.used())
+    }
+
     /// Returns when [`Gateway::process`] must be called next, even if no event occurs.
     pub fn next_deadline(&self) -> Instant {
         let engine = self.engine.as_ref().and_then(Engine::next_deadline);
