Memory limit: what connections hold is bounded, and long SETUPs can't starve usual ones

Causes, by the bytes in the `state` log and by a trace of the sockets: - A line was parsed before its bytes were reserved, so that each of several hundred tasks held a parsed message beside a read buffer with room for the next line. - A write copied up to 64 KiB of lines for each connection. - Queued lines counted their text alone, a third of what a refusal takes. - The bytes of lines for nodes stood at their limit: a SETUP that found no room closed its connection, all other SETUPs on it were lost, and the lines of closing connections kept the budget full (16,088 of 18,158 SETUPs). - Messages of nodes waited behind those of all viewers, and 2 MB of received messages only waited longer than they would have in the sockets.

Ruled out: the texts of requests and the lines for viewers stay below their limits. Leaving long lines in the socket's buffer until they are complete was tried and stalls a sender (receive window), so it was dropped.

Lines at fault: event_loop.rs, send_message; connection.rs, Reader and Writer; upstream.rs, send_setup.

--- a/crates/cli/tests/memory.rs
+++ b/crates/cli/tests/memory.rs
@@ -7,7 +7,7 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::thread::JoinHandle;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 #[allow(dead_code)]
 mod support;
@@ -25,6 +25,15 @@
 /// Requests of a usual viewer that are answered while the bursts are handled.
 const USUAL_REQUESTS: u64 = 20;
 
+/// Connections of a crowd, the number of requests of each, and the nodes beside it.
+const CROWD_CLIENTS: u64 = 450;
+const CROWD_REQUESTS_PER_CLIENT: u64 = 15;
+const CROWD_NODES: usize = 4;
+/// Usual requests that may be refused beside a crowd.
+const MAX_REFUSED: u64 = 2;
+/// The setup timeout of all requests.
+const SETUP_TIMEOUT: Duration = Duration::from_secs(3);
+
 /// Starts a program with the lowest memory limit that knows these nodes and has passed a health check.
 fn start(nodes: &str) -> Program {
     let bus = Arc::new(Bus::default());
@@ -104,9 +113,10 @@
     stream
 }
 
-/// Sends the bursts of all clients at once. The returned threads end with their connections.
+/// Sends the bursts of this many clients at once. The returned threads end with their connections.
 fn send_bursts(
     program: &Program,
+    clients: u64,
     requests_per_client: u64,
     line: fn(u64) -> String,
 ) -> Vec<JoinHandle<TcpStream>> {
@@ -116,7 +126,7 @@
         let tags = first_tag..first_tag + requests_per_client;
         std::thread::spawn(move || send_burst(listen, tags, line))
     };
-    (0..CLIENTS).map(spawn).collect()
+    (0..clients).map(spawn).collect()
 }
 
 /// Reads until each of this many requests has an answer, or the connection ends.
@@ -140,7 +150,7 @@
 /// requests of a usual viewer must be answered meanwhile and afterwards.
 fn assert_bursts_are_survived(program: &Program, requests_per_client: u64, line: fn(u64) -> String) {
     let memory = MemoryWatch::start(program);
-    let clients = send_bursts(program, requests_per_client, line);
+    let clients = send_bursts(program, CLIENTS, requests_per_client, line);
     assert_usual_requests_are_answered(program);
     clients.into_iter().for_each(|client| read_answers(client.join().unwrap(), requests_per_client));
     assert_usual_requests_are_answered(program);
@@ -196,3 +206,35 @@
     assert_usual_requests_are_answered(&program);
     memory.assert_below_limit();
 }
+
+/// Guards against a director that is killed for memory because what each connection holds was counted by none of its
+/// limits: messages that had been parsed and waited for room, copies of lines that were written, and queued lines
+/// without what they need beside their text. It also refused all usual viewers meanwhile.
+#[test]
+fn a_crowd_of_connections_with_full_requests_stays_below_the_memory_limit() {
+    let nodes: Vec<Node> = (0..CROWD_NODES).map(|_| Node::start()).collect();
+    let endpoints: Vec<String> =
+        nodes.iter().enumerate().map(|(n, node)| endpoint(&format!("n{n}"), node, 0)).collect();
+    let program = start(&endpoints.join(","));
+    let memory = MemoryWatch::start(&program);
+    let clients =
+        send_bursts(&program, CROWD_CLIENTS, CROWD_REQUESTS_PER_CLIENT, |tag| full_request(tag, "fa"));
+    let mut viewer = Viewer::connect(program.listen);
+    let mut playing = 0;
+    for tag in 1..=USUAL_REQUESTS {
+        let sent_at = Instant::now();
+        viewer.request_session(tag, "7f");
+        let answer = viewer.receive();
+        assert!(answer.contains(&format!("{tag:016x}")), "request {tag} was answered by {answer:?}");
+        let elapsed = sent_at.elapsed();
+        assert!(elapsed < SETUP_TIMEOUT, "request {tag} was answered after {elapsed:?}");
+        playing += u64::from(answer.contains("STARTED"));
+    }
+    clients.into_iter().for_each(|client| read_answers(client.join().unwrap(), CROWD_REQUESTS_PER_CLIENT));
+    memory.assert_below_limit();
+    // Where there is room at the nodes, a request that is refused beside others is a request that is not served.
+    assert!(
+        playing >= USUAL_REQUESTS - MAX_REFUSED,
+        "{playing} of {USUAL_REQUESTS} usual requests were served"
+    );
+}
--- a/crates/platform-director/src/command_queue.rs
+++ b/crates/platform-director/src/command_queue.rs
@@ -1,6 +1,6 @@
 //! The event loop's side of a connection: a queue of commands that is bounded in number and in bytes.
 
-use ashglade_platform::{ByteAccount, ByteReservation};
+use ashglade_platform::{ByteAccount, ByteReservation, QUEUED_LINE_OVERHEAD_BYTES};
 use bytes::Bytes;
 use tokio::sync::mpsc;
 
@@ -51,7 +51,9 @@
 
     /// Queues a line. Returns the line if the connection has ended, or its queue is full in number or bytes.
     pub fn send_line(&self, line: Bytes) -> Result<(), Bytes> {
-        let Some(reservation) = self.queued_bytes.reserve(line.len()) else { return Err(line) };
+        let Some(reservation) = self.queued_bytes.reserve(line.len() + QUEUED_LINE_OVERHEAD_BYTES) else {
+            return Err(line);
+        };
         let command = ConnectionCommand::SendLine(QueuedLine { line, _bytes: reservation });
         match self.commands.try_send(command).map_err(|error| error.into_inner()) {
             Err(ConnectionCommand::SendLine(queued)) => Err(queued.into_bytes()),
--- a/crates/platform-director/src/connection.rs
+++ b/crates/platform-director/src/connection.rs
@@ -13,36 +13,26 @@
 //!   what is still received.
 
 use std::fmt;
-use std::io::ErrorKind;
 use std::time::Duration;
 
-use ashglade_platform::line_decoder::MAX_LINE_BYTES;
-use ashglade_platform::{Event, LineDecoder};
-use bytes::{Buf, Bytes, BytesMut};
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use ashglade_platform::Event;
+use bytes::Bytes;
+use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
-use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::net::tcp::OwnedWriteHalf;
 use tokio::sync::mpsc;
 use tokio::task::yield_now;
-use tokio::time::{Instant, sleep_until, timeout, timeout_at};
-use tokio_util::codec::Decoder;
+use tokio::time::{Instant, sleep_until, timeout};
 
-use crate::command_queue::{ConnectionCommand, QueuedLine};
-use crate::event_loop::EventSender;
+use crate::command_queue::ConnectionCommand;
+use crate::event_loop::{ConnectionEvent, EventSender};
+use crate::line_reader::{LineReader, ReceivedLine};
+use crate::line_writer::LineWriter;
 
-/// Maximum number of bytes per read, so that a fast sender does not starve the other connections.
-const READ_CHUNK_BYTES: usize = 4096;
-/// Time without write progress after which a connection is given up.
-const WRITE_TIMEOUT: Duration = Duration::from_secs(3);
 /// Time after which a connection that this side closes is dropped, even if its peer has not closed.
 const CLOSE_TIMEOUT: Duration = Duration::from_millis(250);
 /// Time after a write within which the data may still be in transit, so that a reset could lose it.
 const TRANSIT_TIME: Duration = Duration::from_secs(1);
-/// Maximum number of lines per write.
-const MAX_LINES_PER_WRITE: usize = 64;
-/// Number of bytes from which on no further line is added to a write.
-const MAX_BYTES_PER_WRITE: usize = 64 * 1024;
-
 /// Why a connection ended.
 #[derive(Clone, Copy, PartialEq, Eq)]
 pub enum EndReason {
@@ -80,170 +70,6 @@
     Reply(Bytes),
 }
 
-struct Reader {
-    half: OwnedReadHalf,
-    buffer: BytesMut,
-    decoder: LineDecoder,
-    /// The peer's close has been read; the buffer holds the last data of the peer.
-    peer_closed: bool,
-    /// When the line that has begun must be complete.
-    line_deadline: Option<Instant>,
-}
-
-impl Reader {
-    /// Returns the next line. A line that has begun must be complete within `line_timeout`, however many
-    /// reads it takes. Cancel-safe.
-    async fn next_line(&mut self, line_timeout: Duration) -> Result<Bytes, EndReason> {
-        loop {
-            self.read_available();
-            match self.decoder.decode(&mut self.buffer) {
-                Ok(Some(line)) => {
-                    self.line_deadline = None;
-                    return Ok(line);
-                }
-                Ok(None) => {}
-                Err(_) => return Err(EndReason::ProtocolError),
-            }
-            if self.peer_closed {
-                return Err(EndReason::PeerClosed);
-            }
-            if self.buffer.is_empty() {
-                // An idle connection holds no buffer: one is allocated once data has arrived.
-                self.buffer = BytesMut::new();
-                self.half.readable().await.map_err(|_| EndReason::PeerClosed)?;
-            } else {
-                self.line_deadline.get_or_insert_with(|| Instant::now() + line_timeout);
-            }
-            self.reserve_chunk();
-            let mut limited = (&mut self.half).take(READ_CHUNK_BYTES as u64);
-            let read = limited.read_buf(&mut self.buffer);
-            let read = match self.line_deadline {
-                Some(deadline) => timeout_at(deadline, read).await.map_err(|_| EndReason::ProtocolError)?,
-                None => read.await,
-            };
-            match read {
-                Ok(0) | Err(_) => return Err(EndReason::PeerClosed),
-                Ok(_) => {}
-            }
-        }
-    }
-
-    /// Makes room for one chunk. A buffer that must grow for a long line gets room for the longest, as doubling
-    /// its size would take more.
-    fn reserve_chunk(&mut self) {
-        let wanted = if self.buffer.len() < READ_CHUNK_BYTES {
-            READ_CHUNK_BYTES
-        } else {
-            READ_CHUNK_BYTES.max(MAX_LINE_BYTES + READ_CHUNK_BYTES - self.buffer.len().min(MAX_LINE_BYTES))
-        };
-        self.buffer.reserve(wanted);
-    }
-
-    /// Reads data that has already arrived, up to about one chunk, so that a close right behind the buffered
-    /// lines is known before the lines are processed.
-    fn read_available(&mut self) {
-        while !self.peer_closed && !self.buffer.is_empty() && self.buffer.len() < READ_CHUNK_BYTES {
-            self.reserve_chunk();
-            match self.half.try_read_buf(&mut self.buffer) {
-                Ok(0) => self.peer_closed = true,
-                Ok(_) => {}
-                Err(error) if error.kind() == ErrorKind::WouldBlock => return,
-                Err(_) => self.peer_closed = true,
-            }
-        }
-    }
-
-    /// Returns whether no data has arrived that was not returned as a line.
-    fn is_idle(&mut self) -> bool {
-        if self.buffer.is_empty() {
-            self.buffer.reserve(READ_CHUNK_BYTES);
-            // A close by the peer is reported by the next read.
-            let _ = self.half.try_read_buf(&mut self.buffer);
-        }
-        self.buffer.is_empty()
-    }
-
-    /// Reads and discards data until the peer closes too.
-    async fn discard_until_close(&mut self) {
-        self.buffer.clear();
-        self.buffer.reserve(READ_CHUNK_BYTES);
-        while self.half.read_buf(&mut self.buffer).await.is_ok_and(|count| count > 0) {
-            self.buffer.clear();
-        }
-    }
-}
-
-struct Writer {
-    half: OwnedWriteHalf,
-    /// Lines whose write has not begun.
-    queued: Vec<QueuedLine>,
-    queued_bytes: usize,
-    /// Lines whose write has begun.
-    in_flight: Vec<QueuedLine>,
-    /// The bytes of `in_flight` that are not written yet.
-    unsent: Bytes,
-    /// When the next bytes must be written.
-    write_deadline: Instant,
-    last_write_at: Option<Instant>,
-}
-
-impl Writer {
-    fn has_unsent(&self) -> bool {
-        !self.unsent.is_empty() || !self.queued.is_empty()
-    }
-
-    fn has_room(&self) -> bool {
-        self.queued.len() < MAX_LINES_PER_WRITE && self.queued_bytes < MAX_BYTES_PER_WRITE
-    }
-
-    fn queue(&mut self, line: QueuedLine) {
-        self.queued_bytes += line.as_bytes().len();
-        self.queued.push(line);
-    }
-
-    /// Writes once, possibly a part of the unsent bytes. Cancel-safe.
-    async fn write_some(&mut self) -> Result<(), EndReason> {
-        if self.unsent.is_empty() {
-            self.in_flight = std::mem::take(&mut self.queued);
-            self.queued_bytes = 0;
-            self.unsent = match &self.in_flight[..] {
-                [line] => line.as_bytes().clone(),
-                lines => concat(lines),
-            };
-            self.write_deadline = Instant::now() + WRITE_TIMEOUT;
-        }
-        let written = timeout_at(self.write_deadline, self.half.write(&self.unsent)).await;
-        let count = written.map_err(|_| EndReason::WriteTimeout)?.map_err(|_| EndReason::PeerClosed)?;
-        self.unsent.advance(count);
-        if self.unsent.is_empty() {
-            self.unsent = Bytes::new();
-            self.in_flight.clear();
-        }
-        (self.write_deadline, self.last_write_at) = (Instant::now() + WRITE_TIMEOUT, Some(Instant::now()));
-        Ok(())
-    }
-
-    /// Returns the lines that are not completely written, and the sending half if it can still be used.
-    fn into_unwritten(mut self) -> (Vec<Bytes>, Option<OwnedWriteHalf>) {
-        // After a part of a line, the peer could not parse anything further.
-        let at_line_boundary = self.unsent.is_empty();
-        let (mut remaining, mut first_unwritten) = (self.unsent.len(), self.in_flight.len());
-        while remaining > 0 && first_unwritten > 0 {
-            first_unwritten -= 1;
-            remaining = remaining.saturating_sub(self.in_flight[first_unwritten].as_bytes().len());
-        }
-        let mut lines = self.in_flight.split_off(first_unwritten);
-        lines.append(&mut self.queued);
-        (lines.into_iter().map(QueuedLine::into_bytes).collect(), at_line_boundary.then_some(self.half))
-    }
-}
-
-fn concat(lines: &[QueuedLine]) -> Bytes {
-    let mut joined = BytesMut::with_capacity(lines.iter().map(|line| line.as_bytes().len()).sum());
-    lines.iter().for_each(|line| joined.extend_from_slice(line.as_bytes()));
-    joined.freeze()
-}
-
 /// How a connection ended.
 pub struct ClosedConnection {
     pub reason: EndReason,
@@ -251,7 +77,7 @@
     pub unwritten: Vec<Bytes>,
     /// Both halves of the socket and the replies still to be sent, if the peer may still read: it has closed,
     /// perhaps only its sending half, or has sent a malformed line.
-    half_open: Option<(Reader, OwnedWriteHalf, Vec<Bytes>)>,
+    half_open: Option<(LineReader, OwnedWriteHalf, Vec<Bytes>)>,
 }
 
 impl ClosedConnection {
@@ -274,7 +100,7 @@
                 }
             }
             let _ = half.shutdown().await;
-            if wrote && writable && !reader.peer_closed {
+            if wrote && writable && !reader.is_at_end() {
                 reader.discard_until_close().await;
             }
         };
@@ -296,22 +122,8 @@
 ) -> ClosedConnection {
     let _ = stream.set_nodelay(true);
     let (read, write) = stream.into_split();
-    let mut reader = Reader {
-        half: read,
-        buffer: BytesMut::new(),
-        decoder: LineDecoder::default(),
-        peer_closed: false,
-        line_deadline: None,
-    };
-    let mut writer = Writer {
-        half: write,
-        queued: Vec::new(),
-        queued_bytes: 0,
-        in_flight: Vec::new(),
-        unsent: Bytes::new(),
-        write_deadline: Instant::now(),
-        last_write_at: None,
-    };
+    let mut reader = LineReader::new(read, line_timeout, events.receive_budget().clone());
+    let mut writer = LineWriter::new(write);
     let mut reported_messages = 0;
     let mut replies: Vec<Bytes> = Vec::new();
     // Set once the sender of the commands is dropped: queued lines are written until then.
@@ -320,15 +132,14 @@
         let mut command = tokio::select! {
             // Reading goes first, so that a close by the peer is detected before anything is written to it.
             biased;
-            line = reader.next_line(line_timeout) => match line {
-                Ok(line) => {
-                    let bytes = line.len();
-                    match handle_line(line, reader.peer_closed) {
+            line = reader.next_line() => match line {
+                Ok(ReceivedLine { text, reservation, peer_closed }) => {
+                    match handle_line(text, peer_closed) {
                         Ok(LineOutcome::Ignore) => {}
                         Ok(LineOutcome::Reply(line)) => replies.push(line),
                         Ok(LineOutcome::Event(event)) => {
                             reported_messages += 1;
-                            if !events.send_message(event, bytes).await {
+                            if !events.send(ConnectionEvent::Message(event, reservation)).await {
                                 break EndReason::LocalClose;
                             }
                         }
@@ -384,8 +195,8 @@
     };
     if reason == EndReason::LocalClose {
         let _ = timeout(CLOSE_TIMEOUT, async {
-            let _ = writer.half.shutdown().await;
-            if writer.last_write_at.is_some_and(|at| at.elapsed() < TRANSIT_TIME) {
+            writer.shut_down().await;
+            if writer.has_written_within(TRANSIT_TIME) {
                 reader.discard_until_close().await;
             }
         })
--- a/crates/platform-director/src/event_loop.rs
+++ b/crates/platform-director/src/event_loop.rs
@@ -17,6 +17,7 @@
 use tracing::{debug, info};
 
 use crate::command_queue::{CommandSender, ConnectionCommand};
+use crate::line_reader::ReceiveBudget;
 use crate::listener::Acceptor;
 use crate::upstream;
 
@@ -24,8 +25,6 @@
 /// the tasks that read sockets and loses nothing: unread data stays in the kernel's socket buffers, and flow
 /// control slows its sender.
 const MAX_EVENTS_PER_BATCH: usize = 1024;
-/// Memory that a received message needs beside its text, in bytes.
-const MESSAGE_OVERHEAD_BYTES: usize = 1024;
 /// Capacity of the channel of priority events, of which there are few.
 const PRIORITY_QUEUE_LENGTH: usize = 4;
 /// Interval of the log line with sizes and counters.
@@ -50,41 +49,24 @@
     Message(Event, OwnedSemaphorePermit),
 }
 
-/// Sends what connections report to the event loop, bounded in number and in bytes. A full channel delays the
-/// tasks that read sockets and loses nothing.
+/// Sends what connections report to the event loop. A full channel delays the tasks that read sockets and loses
+/// nothing. Messages are bounded in bytes as well, by the reservation that each of them holds.
 #[derive(Clone)]
 pub struct EventSender {
     events: mpsc::Sender<ConnectionEvent>,
-    received_bytes: Arc<Semaphore>,
-    max_received_bytes: usize,
+    receive_budget: ReceiveBudget,
 }
 
 impl EventSender {
-    fn new(events: mpsc::Sender<ConnectionEvent>, max_received_bytes: usize) -> EventSender {
-        EventSender {
-            events,
-            received_bytes: Arc::new(Semaphore::new(max_received_bytes)),
-            max_received_bytes,
-        }
-    }
-
-    /// Returns the number of bytes of received messages that have not been processed.
-    fn held_bytes(&self) -> usize {
-        self.max_received_bytes - self.received_bytes.available_permits()
+    /// Returns the budget of the messages that are received on the connections.
+    pub(crate) fn receive_budget(&self) -> &ReceiveBudget {
+        &self.receive_budget
     }
 
-    /// Sends what is not a message. Returns false if the event loop has ended.
+    /// Sends an event. Returns false if the event loop has ended.
     pub async fn send(&self, event: ConnectionEvent) -> bool {
         self.events.send(event).await.is_ok()
     }
-
-    /// Sends a message whose text has this length, once its bytes are free. Returns false if the event loop has
-    /// ended.
-    pub async fn send_message(&self, message: Event, text_bytes: usize) -> bool {
-        let bytes = (text_bytes + MESSAGE_OVERHEAD_BYTES).min(self.max_received_bytes) as u32;
-        let Ok(permit) = self.received_bytes.clone().acquire_many_owned(bytes).await else { return false };
-        self.send(ConnectionEvent::Message(message, permit)).await
-    }
 }
 
 /// Descriptors available to connections, including those that are being closed. The two limits together leave
@@ -133,15 +115,18 @@
     clock: Clock,
     connect_timeout: Duration,
     descriptors: DescriptorPools,
-    connection_events: (EventSender, mpsc::Receiver<ConnectionEvent>),
+    connection_events: mpsc::Receiver<ConnectionEvent>,
+    /// For the connections of viewers and of nodes. The messages of nodes have a budget of their own, so that they
+    /// don't wait behind those of any number of viewers.
+    downstream_events: EventSender,
+    upstream_events: EventSender,
     /// Discovery updates and the start of a drain, which must not wait behind a flood of connections.
     priority_events: (mpsc::Sender<Event>, mpsc::Receiver<Event>),
     /// Viewers' connections, with the number of messages received from each.
     downstreams: BTreeMap<DownstreamId, (CommandSender, u64)>,
     upstreams: BTreeMap<UpstreamId, CommandSender>,
-    /// Bytes of the lines queued for viewers and for nodes.
+    /// Bytes of the lines queued for viewers.
     downstream_line_bytes: ByteBudget,
-    upstream_line_bytes: ByteBudget,
     /// Events of the next batch.
     pending_events: Vec<Event>,
     /// Ends the accepting of viewers' connections when it is dropped.
@@ -157,12 +142,19 @@
             gateway,
             clock,
             connect_timeout,
-            connection_events: (EventSender::new(events, limits.received_bytes), received_events),
+            connection_events: received_events,
+            downstream_events: EventSender {
+                events: events.clone(),
+                receive_budget: ReceiveBudget::new(limits.received_bytes, limits.large_buffer_bytes),
+            },
+            upstream_events: EventSender {
+                events,
+                receive_budget: ReceiveBudget::new(limits.node_received_bytes, limits.node_received_bytes),
+            },
             priority_events: mpsc::channel(PRIORITY_QUEUE_LENGTH),
             downstreams: BTreeMap::new(),
             upstreams: BTreeMap::new(),
             downstream_line_bytes: ByteBudget::new(limits.line_bytes),
-            upstream_line_bytes: ByteBudget::new(limits.line_bytes),
             pending_events: Vec::new(),
             stop_listening: None,
         }
@@ -181,7 +173,7 @@
         let acceptor = Acceptor::new(
             self.descriptors.downstream.clone(),
             self.gateway.resource_limits().queued_lines,
-            self.connection_events.0.clone(),
+            self.downstream_events.clone(),
         );
         acceptor.run(listener, stopped)
     }
@@ -198,7 +190,7 @@
             tokio::select! {
                 biased;
                 Some(event) = self.priority_events.1.recv() => self.pending_events.push(event),
-                _ = self.connection_events.1.recv_many(&mut received, MAX_EVENTS_PER_BATCH) => {}
+                _ = self.connection_events.recv_many(&mut received, MAX_EVENTS_PER_BATCH) => {}
                 () = tokio::time::sleep_until(due) => {
                     if due.elapsed() > STALL_THRESHOLD {
                         // Data that arrived during the stall is still in socket buffers. The connections read
@@ -221,7 +213,7 @@
                 self.pending_events.push(event);
             }
             while received.len() < MAX_EVENTS_PER_BATCH
-                && let Ok(event) = self.connection_events.1.try_recv()
+                && let Ok(event) = self.connection_events.try_recv()
             {
                 received.push(event);
             }
@@ -311,10 +303,11 @@
             }
             Action::ConnectUpstream(upstream, address) => {
                 let (sender, commands) = mpsc::channel(self.gateway.resource_limits().queued_lines);
-                let sender = CommandSender::new(sender, self.upstream_line_bytes.open_account());
-                self.upstreams.insert(upstream, sender);
-                let (descriptors, events) =
-                    (self.descriptors.upstream.clone(), self.connection_events.0.clone());
+                // A connection that was given up in the same call has no account any more.
+                if let Some(line_bytes) = self.gateway.upstream_line_account(upstream) {
+                    self.upstreams.insert(upstream, CommandSender::new(sender, line_bytes));
+                }
+                let (descriptors, events) = (self.descriptors.upstream.clone(), self.upstream_events.clone());
                 tokio::spawn(upstream::serve(
                     upstream,
                     address,
@@ -350,9 +343,10 @@
             trunks = upstreams,
             queued_setups,
             request_bytes,
-            received_bytes = self.connection_events.0.held_bytes(),
+            received_bytes = self.downstream_events.receive_budget.held_bytes(),
+            node_received_bytes = self.upstream_events.receive_budget.held_bytes(),
             viewer_line_bytes = self.downstream_line_bytes.used(),
-            node_line_bytes = self.upstream_line_bytes.used(),
+            node_line_bytes = self.gateway.upstream_line_bytes().used(),
             ?tally,
             "state"
         );
--- a/crates/platform-director/src/lib.rs
+++ b/crates/platform-director/src/lib.rs
@@ -7,6 +7,8 @@
 mod discovery;
 mod downstream;
 mod event_loop;
+mod line_reader;
+mod line_writer;
 mod listener;
 mod upstream;
 
--- a/crates/platform/src/byte_budget.rs
+++ b/crates/platform/src/byte_budget.rs
@@ -31,14 +31,20 @@
     }
 }
 
-/// The part of a budget that one party holds.
-#[derive(Debug)]
+/// The part of a budget that one party holds. Clones are the same account.
+#[derive(Clone, Debug)]
 pub struct ByteAccount {
     budget: ByteBudget,
     held: Arc<AtomicUsize>,
 }
 
 impl ByteAccount {
+    /// Returns whether the party could reserve this many bytes if the budget had only this part of its limit.
+    pub fn has_room_within(&self, part: f64, bytes: usize) -> bool {
+        let limit = (self.budget.limit as f64 * part) as usize;
+        self.held.load(Ordering::Relaxed) + bytes <= limit.saturating_sub(self.budget.used())
+    }
+
     /// Reserves bytes until the returned reservation is dropped. Returns `None` if the party would hold more
     /// than is left free.
     pub fn reserve(&self, bytes: usize) -> Option<ByteReservation> {
--- a/crates/platform/src/gateway.rs
+++ b/crates/platform/src/gateway.rs
@@ -208,6 +208,10 @@
     pub(crate) nodes: BTreeMap<NodeId, NodeState>,
     pub(crate) upstreams: BTreeMap<UpstreamId, UpstreamConnection>,
     pub(crate) next_upstream: u64,
+    /// The bytes of the lines that are queued on connections to nodes.
+    pub(crate) upstream_line_bytes: ByteBudget,
+    /// Bytes of the SETUPs that the call of [`Gateway::process`] in progress sends.
+    pub(crate) setup_bytes_in_call: usize,
     pub(crate) next_health_check: u64,
     /// Connections to nodes that this side closed, until their end is reported.
     pub(crate) closing_upstreams: BTreeMap<UpstreamId, NodeId>,
@@ -254,6 +258,8 @@
             nodes: BTreeMap::new(),
             upstreams: BTreeMap::new(),
             next_upstream: 0,
+            upstream_line_bytes: ByteBudget::new(limits.line_bytes),
+            setup_bytes_in_call: 0,
             next_health_check: site.director.seed,
             closing_upstreams: BTreeMap::new(),
             cancelled_setups: VecDeque::new(),
@@ -288,6 +294,11 @@
         [self.sessions.len(), self.downstreams.len(), self.nodes.len(), self.upstreams.len()]
     }
 
+    /// Returns the budget of the lines that are queued on connections to nodes.
+    pub fn upstream_line_bytes(&self) -> &ByteBudget {
+        &self.upstream_line_bytes
+    }
+
     /// Returns the number of queued SETUP requests, and the bytes of all requests that have no answer.
     pub fn held_requests(&self) -> (usize, usize) {
         (self.setup_queue.len(), self.request_bytes.used())
@@ -307,6 +318,7 @@
 
     /// Handles events in their order and then everything that is due, and returns what is to be done.
     pub fn process(&mut self, now: Instant, events: impl IntoIterator<Item = Event>) -> Vec<Action> {
+        self.setup_bytes_in_call = 0;
         // New upstream connections are handled last: they send what waits for them, and a viewer that leaves
         // in the same call needs nothing sent.
         let mut connected = Vec::new();
--- a/crates/platform/src/line_decoder.rs
+++ b/crates/platform/src/line_decoder.rs
@@ -26,9 +26,16 @@
 }
 
 impl LineDecoder {
-    /// Returns whether a line has begun and is not complete yet.
-    pub fn has_partial_line(&self) -> bool {
-        self.scanned_bytes > 0
+    /// Returns the length of the first line without its line feed, if it is complete.
+    pub fn find_line(&mut self, buffer: &[u8]) -> Result<Option<usize>, LineError> {
+        let unscanned = &buffer[self.scanned_bytes..];
+        let end = unscanned.iter().position(|&byte| byte == b'\n').map(|offset| offset + self.scanned_bytes);
+        let length = end.unwrap_or(buffer.len());
+        if length > MAX_LINE_BYTES {
+            return Err(LineError::TooLong);
+        }
+        self.scanned_bytes = length;
+        Ok(end)
     }
 }
 
@@ -37,17 +44,7 @@
     type Error = LineError;
 
     fn decode(&mut self, buffer: &mut BytesMut) -> Result<Option<Bytes>, LineError> {
-        let end = buffer[self.scanned_bytes..]
-            .iter()
-            .position(|&byte| byte == b'\n')
-            .map(|offset| offset + self.scanned_bytes);
-        if end.unwrap_or(buffer.len()) > MAX_LINE_BYTES {
-            return Err(LineError::TooLong);
-        }
-        let Some(end) = end else {
-            self.scanned_bytes = buffer.len();
-            return Ok(None);
-        };
+        let Some(end) = self.find_line(buffer)? else { return Ok(None) };
         self.scanned_bytes = 0;
         let line = buffer.split_to(end).freeze();
         buffer.advance(1);
--- a/crates/platform/src/message.rs
+++ b/crates/platform/src/message.rs
@@ -226,5 +226,6 @@
         return None;
     }
     line.push(b'\n');
-    Some(line.into())
+    // Without the spare capacity, which may be as large as the line.
+    Some(line.into_boxed_slice().into())
 }
--- a/crates/platform/src/resource_limits.rs
+++ b/crates/platform/src/resource_limits.rs
@@ -3,8 +3,8 @@
 //! at most one entry of each kind. Memory is allocated as it is needed, not in advance.
 //!
 //! Messages may be 16 KiB long, a hundred times their usual length, so what holds messages is limited in bytes
-//! as well: at most seven sixteenths of the memory limit in all. Lines that are received in part come on top: one of
-//! at most the longest line for each connection, whose number the limit on descriptors bounds.
+//! as well: at most three quarters of the memory limit in all. Short lines that are received in part come on top: at
+//! most 4 KiB for each connection, whose number the limit on descriptors bounds.
 
 use crate::line_decoder::MAX_LINE_BYTES;
 
@@ -21,8 +21,15 @@
 /// Parts of the memory limit that may be used for the texts of requests without an answer, for messages that
 /// have been received and not processed, and for lines that are queued in each direction.
 const REQUEST_BYTES_DIVISOR: f64 = 8.0;
-const RECEIVED_BYTES_DIVISOR: f64 = 16.0;
+const RECEIVED_BYTES_DIVISOR: f64 = 64.0;
+const NODE_RECEIVED_BYTES_DIVISOR: f64 = 32.0;
+const LARGE_BUFFER_BYTES_DIVISOR: f64 = 4.0;
 const LINE_BYTES_DIVISOR: f64 = 8.0;
+/// Memory that a queued line needs beside its text, in bytes.
+pub const QUEUED_LINE_OVERHEAD_BYTES: usize = 128;
+/// Upper bound of the bytes of received messages, however much memory there is: what is read earlier than it can be
+/// processed only waits longer.
+const MAX_RECEIVED_BYTES: usize = 512 * 1024;
 /// Lower bound of the limits on bytes, however little memory there is: a few messages of any length.
 const MIN_BYTES: usize = 8 * MAX_LINE_BYTES;
 
@@ -42,8 +49,12 @@
     pub queued_lines: usize,
     /// Bytes of the texts of SETUP requests that have no answer.
     pub request_bytes: usize,
-    /// Bytes of messages that have been received and not processed.
+    /// Bytes of messages of viewers that have been received and not processed.
     pub received_bytes: usize,
+    /// The same for messages of nodes.
+    pub node_received_bytes: usize,
+    /// Bytes of the buffers of viewers' connections that receive a long line.
+    pub large_buffer_bytes: usize,
     /// Bytes of the lines queued for viewers, and as many for nodes.
     pub line_bytes: usize,
 }
@@ -60,7 +71,9 @@
             outstanding,
             queued_lines: outstanding * 2,
             request_bytes: bytes(REQUEST_BYTES_DIVISOR),
-            received_bytes: bytes(RECEIVED_BYTES_DIVISOR),
+            received_bytes: bytes(RECEIVED_BYTES_DIVISOR).min(MAX_RECEIVED_BYTES),
+            node_received_bytes: bytes(NODE_RECEIVED_BYTES_DIVISOR),
+            large_buffer_bytes: bytes(LARGE_BUFFER_BYTES_DIVISOR),
             line_bytes: bytes(LINE_BYTES_DIVISOR),
         }
     }
--- a/crates/platform/src/upstream.rs
+++ b/crates/platform/src/upstream.rs
@@ -21,9 +21,11 @@
 use bytes::Bytes;
 use tracing::{debug, warn};
 
+use crate::byte_budget::ByteAccount;
 use crate::causes;
 use crate::gateway::{Action, Attempt, CloseReason, Gateway, HeldRequest, UpstreamId};
 use crate::message::{self, Message, Tag, Verb};
+use crate::resource_limits::QUEUED_LINE_OVERHEAD_BYTES;
 
 pub(crate) use process_identity::ProcessId;
 
@@ -48,6 +50,13 @@
 /// Time after which a node that is known only by handed-over sessions, and that the node list has not named,
 /// counts as gone.
 const UNLISTED_NODE_TIMEOUT_SECONDS: f64 = 2.0;
+/// Parts of the bytes of lines queued for nodes that long SETUPs and all SETUPs may use, so that long ones leave room
+/// for those of usual length. The rest is left for releases and health checks: a connection that can't take one is
+/// closed.
+const LONG_SETUP_LINE_PART: f64 = 0.5;
+const SETUP_LINE_PART: f64 = 0.75;
+/// Number of bytes from which on a SETUP is long.
+const LONG_SETUP_BYTES: usize = 2048;
 /// Maximum number of connections to one node. Each carries as many concurrent SETUPs as the settings allow,
 /// and a node accepts few connections from all directors together. A SETUP that finds all of them full fails
 /// as unsent and is placed elsewhere.
@@ -128,6 +137,8 @@
     unconfirmed_releases: VecDeque<(Instant, Tag)>,
     /// Unanswered health checks, with the number of the probe if the engine requested one.
     health_checks: BTreeMap<Tag, Option<u64>>,
+    /// The bytes of the lines that are queued on the connection.
+    pub(crate) line_bytes: ByteAccount,
 }
 
 impl Gateway {
@@ -375,7 +386,14 @@
             ("rung", &rung),
         ];
         let line = message::encode(Verb::Start, state.tag, &opts, None, Some(&request.description));
-        let Some(line) = line else {
+        // Lines of this call are not reserved yet: its actions are carried out when it has ended.
+        let setup_bytes = self.setup_bytes_in_call + QUEUED_LINE_OVERHEAD_BYTES;
+        let connection = self.upstreams.get(&upstream);
+        let has_room = |line: &Bytes| {
+            let part = if line.len() < LONG_SETUP_BYTES { SETUP_LINE_PART } else { LONG_SETUP_LINE_PART };
+            connection.is_some_and(|c| c.line_bytes.has_room_within(part, line.len() + setup_bytes))
+        };
+        let Some(line) = line.filter(has_room) else {
             state.attempt = None;
             return self.inputs.push(Input::SetupFailed {
                 session,
@@ -384,6 +402,7 @@
                 load: None,
             });
         };
+        self.setup_bytes_in_call += line.len() + QUEUED_LINE_OVERHEAD_BYTES;
         attempt.sent = Some((upstream, now));
         state.setup_sent = true;
         if let Some(connection) = self.upstreams.get_mut(&upstream) {
@@ -564,6 +583,7 @@
             pending: BTreeSet::new(),
             unconfirmed_releases: VecDeque::new(),
             health_checks: BTreeMap::new(),
+            line_bytes: self.upstream_line_bytes.open_account(),
         };
         self.upstreams.insert(upstream, connection);
         self.actions.push(Action::ConnectUpstream(upstream, address));
@@ -634,6 +654,11 @@
         self.actions.push(Action::SendUpstream(upstream, line));
     }
 
+    /// Returns the account of the lines that are queued on a connection to a node.
+    pub fn upstream_line_account(&self, upstream: UpstreamId) -> Option<ByteAccount> {
+        self.upstreams.get(&upstream).map(|connection| connection.line_bytes.clone())
+    }
+
     /// Returns whether no line waits for a connection to a node.
     pub(crate) fn no_lines_queued_for_nodes(&self) -> bool {
         self.nodes.values().all(|node_state| node_state.queued_lines.is_empty())
