Queued SETUPs: connections take turns, so that none waits behind another's flood

Cause: one queue in order of arrival, of which a call handles 32. A connection may have 1,024 requests or more in it.

Lines at fault: gateway/setup_queue.rs, the queue; gateway.rs, process.

The fix: a queue for each connection, served in turns, one request each. A release of an unknown tag no longer reads the whole queue.

--- a/crates/platform/src/gateway.rs
+++ b/crates/platform/src/gateway.rs
@@ -41,7 +41,7 @@
 pub use planned_shutdown::OpenWork;
 use release_notices::ReleaseNotice;
 pub(crate) use setup_queue::HeldRequest;
-use setup_queue::QueuedSetup;
+use setup_queue::SetupQueue;
 
 /// Identifies a viewer's connection. Assigned by the caller.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -198,7 +198,7 @@
     pub(crate) sessions: BTreeMap<SessionId, SessionState>,
     pub(crate) session_by_tag: BTreeMap<Tag, SessionId>,
     next_session: u64,
-    setup_queue: VecDeque<QueuedSetup>,
+    setup_queue: SetupQueue,
     /// The bytes of all requests that have no answer.
     request_bytes: ByteBudget,
     downstreams: BTreeMap<DownstreamId, DownstreamConnection>,
@@ -250,7 +250,7 @@
             sessions: BTreeMap::new(),
             session_by_tag: BTreeMap::new(),
             next_session: 0,
-            setup_queue: VecDeque::new(),
+            setup_queue: SetupQueue::default(),
             request_bytes: ByteBudget::new(limits.request_bytes),
             downstreams: BTreeMap::new(),
             descriptor_limits: [descriptors.div_ceil(2), descriptors / 2],
@@ -307,7 +307,7 @@
     /// Returns when [`Gateway::process`] must be called next, even if no event occurs.
     pub fn next_deadline(&self) -> Instant {
         let engine = self.engine.as_ref().and_then(Engine::next_deadline);
-        let queued = self.setup_queue.front().map(|setup| setup.received_at);
+        let queued = (!self.setup_queue.is_empty()).then_some(Instant::LONG_AGO);
         let shutdown = self.shutdown.map(|_| self.next_shutdown_check_at);
         [Some(self.next_check_at), self.engine_start_at, queued, engine, shutdown]
             .into_iter()
@@ -330,7 +330,7 @@
         }
         connected.into_iter().for_each(|upstream| self.upstream_connected(now, upstream));
         for _ in 0..MAX_SETUPS_PER_CALL {
-            let Some(setup) = self.setup_queue.pop_front() else { break };
+            let Some(setup) = self.setup_queue.pop() else { break };
             self.handle_setup(now, setup);
         }
         if now >= self.next_check_at {
--- a/crates/platform/src/gateway/downstream.rs
+++ b/crates/platform/src/gateway/downstream.rs
@@ -118,15 +118,8 @@
     pub(super) fn downstream_closed(&mut self, downstream: DownstreamId) {
         let Some(connection) = self.downstreams.remove(&downstream) else { return };
         let mut cancelled = Vec::new();
-        if connection.queued_setups > 0 {
-            cancelled.extend(
-                self.setup_queue
-                    .iter()
-                    .filter(|s| s.downstream == downstream)
-                    .map(|s| (s.tag, causes::CONGESTION)),
-            );
-            self.setup_queue.retain(|setup| setup.downstream != downstream);
-        }
+        let queued = self.setup_queue.remove_connection(downstream);
+        cancelled.extend(queued.iter().map(|setup| (setup.tag, causes::CONGESTION)));
         for session in connection.pending {
             let release = |state: &SessionState| {
                 (state.tag, if state.setup_sent { causes::INTERRUPTED } else { causes::CONGESTION })
--- a/crates/platform/src/gateway/setup_queue.rs
+++ b/crates/platform/src/gateway/setup_queue.rs
@@ -1,5 +1,7 @@
 //! SETUP requests from their arrival until the engine gets them, bounded in number and in bytes.
 
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+
 use ashglade::time::{Instant, Span};
 use ashglade_engine::Input;
 use tracing::debug;
@@ -25,8 +27,96 @@
     pub(super) bytes: ByteReservation,
 }
 
+/// The queued SETUP requests. The connections take turns, one request each, so that a connection with many requests
+/// doesn't delay those of others.
+#[derive(Default)]
+pub(super) struct SetupQueue {
+    by_connection: BTreeMap<DownstreamId, VecDeque<QueuedSetup>>,
+    /// The connections with queued requests, the next one to be served first.
+    turns: VecDeque<DownstreamId>,
+    /// The tags of the queued requests, with their connections.
+    tags: BTreeSet<(Tag, DownstreamId)>,
+    length: usize,
+}
+
+impl SetupQueue {
+    pub fn len(&self) -> usize {
+        self.length
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.length == 0
+    }
+
+    /// Adds a request behind the others of its connection.
+    pub fn push(&mut self, setup: QueuedSetup) {
+        let downstream = setup.downstream;
+        self.tags.insert((setup.tag, downstream));
+        self.length += 1;
+        let setups = self.by_connection.entry(downstream).or_default();
+        if setups.is_empty() {
+            self.turns.push_back(downstream);
+        }
+        setups.push_back(setup);
+    }
+
+    /// Removes and returns the oldest request of the connection whose turn it is.
+    pub fn pop(&mut self) -> Option<QueuedSetup> {
+        let downstream = self.turns.pop_front()?;
+        let setups = self.by_connection.get_mut(&downstream)?;
+        let setup = setups.pop_front()?;
+        self.length -= 1;
+        if setups.is_empty() {
+            self.by_connection.remove(&downstream);
+        } else {
+            self.turns.push_back(downstream);
+        }
+        self.forget_tag(setup.tag, downstream);
+        Some(setup)
+    }
+
+    /// Removes and returns all requests of a connection, oldest first.
+    pub fn remove_connection(&mut self, downstream: DownstreamId) -> Vec<QueuedSetup> {
+        let setups = self.by_connection.remove(&downstream).unwrap_or_default();
+        self.turns.retain(|&other| other != downstream);
+        self.length -= setups.len();
+        for setup in &setups {
+            self.tags.remove(&(setup.tag, downstream));
+        }
+        setups.into()
+    }
+
+    /// Removes the requests with this tag. Returns the connections of the removed requests.
+    pub fn remove_tag(&mut self, tag: Tag) -> Vec<DownstreamId> {
+        let connections = self.tags.range((tag, DownstreamId(0))..=(tag, DownstreamId(u64::MAX)));
+        let connections: Vec<DownstreamId> = connections.map(|&(_, downstream)| downstream).collect();
+        let mut removed = Vec::new();
+        for downstream in connections {
+            self.tags.remove(&(tag, downstream));
+            let Some(setups) = self.by_connection.get_mut(&downstream) else { continue };
+            let queued_before = setups.len();
+            setups.retain(|setup| setup.tag != tag);
+            removed.extend(std::iter::repeat_n(downstream, queued_before - setups.len()));
+            if setups.is_empty() {
+                self.by_connection.remove(&downstream);
+                self.turns.retain(|&other| other != downstream);
+            }
+        }
+        self.length -= removed.len();
+        removed
+    }
+
+    /// Forgets a tag unless another request of the connection has the same one.
+    fn forget_tag(&mut self, tag: Tag, downstream: DownstreamId) {
+        let has_same_tag = |setups: &VecDeque<QueuedSetup>| setups.iter().any(|setup| setup.tag == tag);
+        if !self.by_connection.get(&downstream).is_some_and(has_same_tag) {
+            self.tags.remove(&(tag, downstream));
+        }
+    }
+}
+
 impl Gateway {
-    /// Queues a SETUP request behind those of other viewers. While it is queued, its viewer may leave or
+    /// Queues a SETUP request, unless there is no room for it. While it is queued, its viewer may leave or
     /// cancel it.
     pub(super) fn queue_setup(&mut self, now: Instant, downstream: DownstreamId, tag: Tag, message: Message) {
         let Some(connection) = self.downstreams.get_mut(&downstream) else { return };
@@ -51,17 +141,16 @@
             return self.refuse(downstream, tag, causes::CONGESTION);
         };
         connection.queued_setups += 1;
-        self.setup_queue.push_back(QueuedSetup { received_at: now, downstream, tag, message, bytes });
+        self.setup_queue.push(QueuedSetup { received_at: now, downstream, tag, message, bytes });
     }
 
     /// Removes the queued SETUP requests with this tag, which their viewer has cancelled.
     pub(super) fn cancel_queued_setup(&mut self, tag: Tag) {
-        for setup in self.setup_queue.iter().filter(|setup| setup.tag == tag) {
-            if let Some(connection) = self.downstreams.get_mut(&setup.downstream) {
+        for downstream in self.setup_queue.remove_tag(tag) {
+            if let Some(connection) = self.downstreams.get_mut(&downstream) {
                 connection.queued_setups -= 1;
             }
         }
-        self.setup_queue.retain(|setup| setup.tag != tag);
     }
 
     /// Parses a request. Refuses it and returns `None` if it is invalid.
