Nodes: releases lost with one of several connections get through on another one

What callers saw: with two connections to a node, an answer stopped short on one.

Cause: our release was queued for the next connection, and the node repeats its own on the next connection; none was opened while another one was open.

Ruled out: the release is made (it is queued when the SETUP fails), and the node repeats its releases (its record shows no connection to do so on).

Lines at fault: upstream.rs, upstream_closed and queue_release; upstream/checks.rs, check_node.

The fix: a release that may be lost goes out on another open connection at once, and after a connection was given up or ended with SETUPs open on it, one more is opened while sessions play at the node. It works whichever side lost a release, as both now have the way that the protocol gives them.

--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -33,6 +33,8 @@
 #[cfg(test)]
 mod equivalence_tests;
 #[cfg(test)]
+mod lost_connection_tests;
+#[cfg(test)]
 mod session_end_tests;
 #[cfg(test)]
 mod shutdown_tests;
--- a/crates/platform/src/tests.rs
+++ b/crates/platform/src/tests.rs
@@ -794,7 +794,7 @@
     }
 
     /// Like [`Harness::started`], with `from` replaced by `to` in the configuration.
-    fn started_with(from: &str, to: &str) -> Harness {
+    pub fn started_with(from: &str, to: &str) -> Harness {
         assert!(CONFIG.contains(from));
         let mut harness = Harness::with_passed_check_and_config(&CONFIG.replace(from, to));
         harness.viewer_sends(0, &setup_line(HANDED_OVER_TAG, "home:0;copies:3;top:2;at:a", "handed over"));
--- a/crates/platform/src/upstream.rs
+++ b/crates/platform/src/upstream.rs
@@ -90,6 +90,9 @@
     /// Since when a failed SETUP or a lost connection makes it possible that the node's process has
     /// restarted.
     restart_suspected_at: Option<Instant>,
+    /// A connection was given up on which the node may have reported ends of sessions. It repeats them on the next
+    /// connection that is opened.
+    may_repeat_releases: bool,
     /// When a connection was lost shortly after it had carried a message. If the next one is established at
     /// once, the process probably keeps running.
     connection_lost_at: Option<Instant>,
@@ -113,6 +116,7 @@
             last_connect_at: Instant::LONG_AGO,
             connect_failures: 0,
             restart_suspected_at: None,
+            may_repeat_releases: false,
             connection_lost_at: None,
         }
     }
@@ -151,6 +155,7 @@
         let node = connection.node;
         let Some(node_state) = self.nodes.get_mut(&node) else { return };
         (node_state.last_heard_at, node_state.connect_failures) = (now, 0);
+        node_state.may_repeat_releases = false;
         // A terminated process accepts no connection for a while, and a failed machine has been silent for
         // long, so a quick reconnect suggests that the process keeps running. But the kernel also accepts
         // connections for a process that is being killed: only a message on the new connection proves it.
@@ -200,6 +205,9 @@
             let lost_after_message = matches!(reason, CloseReason::Lost | CloseReason::ProtocolError)
                 && connection.connected
                 && now - connection.last_heard_at <= Span::from_secs(RECENT_MESSAGE_SECONDS);
+            let may_have_lost_message = matches!(reason, CloseReason::ProtocolError | CloseReason::Abandoned)
+                || !connection.pending.is_empty();
+            node_state.may_repeat_releases |= connection.connected && may_have_lost_message;
             if !connection.pending.is_empty() {
                 node_state.restart_suspected_at = Some(now);
             }
@@ -217,7 +225,7 @@
                 outcome: AttemptOutcome::Lost,
                 load: None,
             });
-            self.queue_release(now, node, tag);
+            self.resend_release(now, node, upstream, tag);
             self.remove_if_finished(session);
         }
         for probe in connection.health_checks.into_values().flatten() {
@@ -229,7 +237,7 @@
             .into_iter()
             .filter(|(at, _)| now - *at <= Span::from_secs(QUEUED_LINE_TTL_SECONDS))
         {
-            self.queue_release(now, node, tag);
+            self.resend_release(now, node, upstream, tag);
         }
         let Some(node_state) = self.nodes.get_mut(&node) else { return };
         node_state.upstreams.remove(&upstream);
@@ -249,14 +257,26 @@
         let Some(node_state) = self.nodes.get(&node) else { return };
         let has_lines = !node_state.queued_lines.is_empty() && node_state.connect_failures == 0;
         let needed = !node_state.playing.is_empty() || has_lines || node_state.connection_lost_at.is_some();
-        if needed
-            && node_state.upstreams.is_empty()
+        if ((needed && node_state.upstreams.is_empty()) || self.awaits_repeated_releases(node))
             && now - node_state.last_connect_at > Span::from_secs(RECONNECT_INTERVAL_SECONDS)
         {
             self.connect(now, node);
         }
     }
 
+    /// Returns whether a further connection to the node is needed, on which it repeats the ends of sessions that it
+    /// may have reported on one that was given up.
+    fn awaits_repeated_releases(&self, node: NodeId) -> bool {
+        let is_connecting = |upstream: &UpstreamId| {
+            self.upstreams.get(upstream).is_some_and(|connection| !connection.connected)
+        };
+        self.nodes.get(&node).is_some_and(|node_state| {
+            node_state.may_repeat_releases
+                && !node_state.playing.is_empty()
+                && !node_state.upstreams.iter().any(is_connecting)
+        })
+    }
+
     /// Ends the sessions that have played at the node since `until` or earlier, as lost, and drops lines that
     /// were queued by then.
     fn end_lost_sessions(&mut self, now: Instant, node: NodeId, until: Instant) {
@@ -477,7 +497,7 @@
             debug!(%tag, "releasing the session at its node");
             self.clear_playing(session);
             let is_left = self.leaves_sessions_to_next_process(now);
-            let is_connected = self.connected_upstream(node).is_some();
+            let is_connected = self.connected_upstream(node, None).is_some();
             if let Some(node_state) = self.nodes.get_mut(&node) {
                 node_state.owes_release |= is_left && !is_connected;
             }
@@ -624,14 +644,13 @@
         }
     }
 
-    /// Queues the releases among lines that were not written before their connection ended, for another
-    /// connection.
+    /// Sends the releases among lines that were not written before their connection ended on another connection.
     pub(crate) fn upstream_undelivered(&mut self, now: Instant, upstream: UpstreamId, lines: Vec<Bytes>) {
         let Some(&node) = self.closing_upstreams.get(&upstream) else { return };
         for line in lines {
             let release = Message::parse(&line).ok().filter(|message| message.verb == Verb::Finish);
             if let Some(tag) = release.and_then(|message| message.tag) {
-                self.queue_release(now, node, tag);
+                self.resend_release(now, node, upstream, tag);
             }
         }
     }
@@ -676,9 +695,20 @@
         self.actions.extend(line.map(|line| Action::SendUpstream(upstream, line)));
     }
 
-    /// Queues a release for the next connection to the node, unless the same release is queued already.
-    fn queue_release(&mut self, now: Instant, node: NodeId, tag: Tag) {
+    /// Sends a release that may have been lost with the connection `lost_on` again: on another connection to the
+    /// node, or on the next one if there is none. Does nothing if the release is already on its way.
+    fn resend_release(&mut self, now: Instant, node: NodeId, lost_on: UpstreamId, tag: Tag) {
         let Some(line) = encode_release(tag) else { return };
+        if let Some(upstream) = self.connected_upstream(node, Some(lost_on)) {
+            let is_sent = self
+                .upstreams
+                .get(&upstream)
+                .is_some_and(|c| c.unconfirmed_releases.iter().any(|&(_, released)| released == tag));
+            if !is_sent {
+                self.send_line(now, upstream, line);
+            }
+            return;
+        }
         let is_queued =
             |node_state: &NodeState| node_state.queued_lines.iter().any(|(_, other)| *other == line);
         if self.nodes.get(&node).is_some_and(|node_state| !is_queued(node_state)) {
@@ -696,10 +726,10 @@
         }
     }
 
-    /// Returns the newest established connection to the node.
-    fn connected_upstream(&self, node: NodeId) -> Option<UpstreamId> {
+    /// Returns the newest established connection to the node that is not `excluded`.
+    fn connected_upstream(&self, node: NodeId, excluded: Option<UpstreamId>) -> Option<UpstreamId> {
         let is_connected = |upstream: &&UpstreamId| {
-            self.upstreams.get(upstream).is_some_and(|connection| connection.connected)
+            Some(**upstream) != excluded && self.upstreams.get(upstream).is_some_and(|c| c.connected)
         };
         self.nodes.get(&node)?.upstreams.iter().rev().find(is_connected).copied()
     }
@@ -715,7 +745,7 @@
         cause: Option<u16>,
     ) {
         let Some(line) = message::encode(verb, tag, opts, cause, None) else { return };
-        if let Some(upstream) = self.connected_upstream(node) {
+        if let Some(upstream) = self.connected_upstream(node, None) {
             return self.send_line(now, upstream, line);
         }
         let Some(node_state) = self.nodes.get(&node) else { return };
--- a/crates/platform/src/upstream/checks.rs
+++ b/crates/platform/src/upstream/checks.rs
@@ -71,6 +71,11 @@
             self.end_lost_sessions(now, node, now);
             return upstreams.into_iter().for_each(|upstream| self.abandon_upstream(now, upstream));
         }
+        let connected_lately = !has_elapsed(node_state.last_connect_at, RECONNECT_INTERVAL_SECONDS);
+        if !connected_lately && self.awaits_repeated_releases(node) {
+            self.connect(now, node);
+        }
+        let Some(node_state) = self.nodes.get_mut(&node) else { return };
         let is_connected = |upstream: &&UpstreamId| {
             self.upstreams.get(upstream).is_some_and(|connection| connection.connected)
         };
--- a/crates/platform/src/upstream/discovery.rs
+++ b/crates/platform/src/upstream/discovery.rs
@@ -82,7 +82,7 @@
     /// a connection too, if there is one, in case it does lead there.
     pub(super) fn release_unreachable_sessions(&mut self, now: Instant, node: NodeId) {
         let lost = self.sessions_without_connection(node);
-        if let Some(upstream) = self.connected_upstream(node) {
+        if let Some(upstream) = self.connected_upstream(node, None) {
             let tags = lost.iter().filter_map(|id| Some(self.sessions.get(id)?.tag));
             let releases = tags.filter_map(encode_release);
             self.actions.extend(releases.map(|line| Action::SendUpstream(upstream, line)));
