Repeated tags: a request that comes again after its client left is not set up again

Cause: a tag was known as long as its session was. After its viewer had left and the SETUP had been cancelled, the node could still run it, while a second request with the tag began anew and was sent to another node or the same.

Ruled out: two requests with one tag at the same time (refused before).

Evidence: two of the new tests failed on the code before: the second request was sent to a node, once while the first SETUP could still start, once while the release of the first session was on its way. The third passed: a request of which nothing was sent may come again.

Lines at fault: gateway.rs, remove_if_finished; gateway/setup_queue.rs, handle_setup.

The protocol gives every set-up a new id, a viewer's retry included, so no sound client is refused.

--- a/crates/platform/src/gateway.rs
+++ b/crates/platform/src/gateway.rs
@@ -33,6 +33,7 @@
 use crate::early_ends::{EarlyEnd, EarlyEnds};
 use crate::message::{self, Message, Tag, Verb};
 use crate::orphaned_releases::OrphanedReleases;
+use crate::recent_tags::RecentTags;
 use crate::resource_limits::ResourceLimits;
 use crate::setup_request::SetupRequest;
 use crate::upstream::{NodeState, ProcessId, UpstreamConnection};
@@ -148,6 +149,8 @@
 /// Descriptors that the process needs for itself: standard streams, the runtime, the listener, and the event
 /// bus at its old and its new address.
 const RESERVED_DESCRIPTORS: usize = 14;
+/// Number of tags of ended sessions that are kept for each entry of other kinds.
+const RECENT_TAGS_PER_OUTSTANDING: usize = 4;
 /// Time after the start of a process within which sessions are handed over to it.
 pub(crate) const HANDOVER_PERIOD_SECONDS: f64 = 30.0;
 
@@ -220,6 +223,9 @@
     next_check_at: Instant,
     pub(crate) created_at: Instant,
     early_ends: EarlyEnds,
+    recent_tags: RecentTags,
+    /// The time of the call of [`Gateway::process`] in progress.
+    now: Instant,
     pub(crate) orphaned_releases: OrphanedReleases,
     shutdown: Option<Shutdown>,
     /// When connections are closed next during a shutdown.
@@ -266,6 +272,8 @@
             next_check_at: now,
             created_at: now,
             early_ends: EarlyEnds::default(),
+            recent_tags: RecentTags::new(limits.outstanding * RECENT_TAGS_PER_OUTSTANDING),
+            now,
             orphaned_releases: OrphanedReleases::default(),
             shutdown: None,
             next_shutdown_check_at: now,
@@ -319,6 +327,7 @@
     /// Handles events in their order and then everything that is due, and returns what is to be done.
     pub fn process(&mut self, now: Instant, events: impl IntoIterator<Item = Event>) -> Vec<Action> {
         self.setup_bytes_in_call = 0;
+        self.now = now;
         // New upstream connections are handled last: they send what waits for them, and a viewer that leaves
         // in the same call needs nothing sent.
         let mut connected = Vec::new();
@@ -597,6 +606,9 @@
             && let Some(state) = self.sessions.remove(&session)
         {
             self.session_by_tag.remove(&state.tag);
+            if state.setup_sent {
+                self.recent_tags.keep(self.now, state.tag);
+            }
         }
     }
 }
--- a/crates/platform/src/gateway/setup_queue.rs
+++ b/crates/platform/src/gateway/setup_queue.rs
@@ -200,6 +200,10 @@
             }
             return;
         }
+        if self.recent_tags.contains(now, tag) {
+            debug!(%tag, "refused a request with the tag of a session whose SETUP has been sent");
+            return self.refuse(downstream, tag, causes::INVALID_REQUEST);
+        }
         let mut viewer_request = request.viewer_request;
         // The viewer's timeout runs from the arrival of the request, also while the engine's start is
         // pending.
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod line_decoder;
 pub mod message;
 mod orphaned_releases;
+mod recent_tags;
 mod resource_limits;
 pub mod setup_request;
 mod upstream;
@@ -35,6 +36,8 @@
 #[cfg(test)]
 mod lost_connection_tests;
 #[cfg(test)]
+mod repeated_tag_tests;
+#[cfg(test)]
 mod session_end_tests;
 #[cfg(test)]
 mod shutdown_tests;
