Nodes: a node is gone once another one is listed at its address

Shown here by the new tests: the list tells of the new node, and SETUPs for the old one still go to its address until the removal is told; sessions whose process no connection leads to stand until then.

Cause: the list's entries were taken one by one; that two nodes can't have one address was not used.

Ruled out: an unnoticed new process under the same name is known by its start time or by the messages about older sessions (process_identity.rs).

Evidence: both new tests failed on the code before.

Lines at fault: upstream/discovery.rs, apply_discovery_update.

The fix: an update that lists a ready node at an address that it didn't have removes each other node with this address that the update doesn't name. The removal goes the usual way: sessions end as far as no connection leads to their process, and releases that are owed go to the new node.

--- a/crates/platform/src/session_end_tests.rs
+++ b/crates/platform/src/session_end_tests.rs
@@ -261,3 +261,41 @@
         node c1 < {"verb":"FINISH","tag":"01","opts":{},"rc":16}
     "#]]);
 }
+
+/// Publishes that the node `d` is up at the address of `c`, whose removal has not been reported.
+fn take_address(harness: &mut Harness) {
+    let d = r#"{"name":"d","address":"10.0.0.3:80","zone":"east","type":"std","group":2,"status":"up","weight":4}"#;
+    publish(harness, 2, d);
+}
+
+/// Guards against SETUPs that are sent to the wrong node, because the process at the address of a node that has gone
+/// was taken for it until its removal was reported.
+#[test]
+fn no_setup_for_a_node_is_sent_once_another_one_is_listed_at_its_address() {
+    let mut harness = Harness::started();
+    harness.node_connected("a0").viewer_connects(1);
+    request_from_one_node(&mut harness, 1..2).node_connected("c1");
+    harness.node_sends("c1", "FINISH", 0x01, r#","opts":{},"rc":47"#).advance(300.0);
+    take_address(&mut harness);
+    harness.advance(11_000.0).viewer_connects(1).take_trace();
+    // Only `d` has the title now: what is sent goes to it, on a connection of its own.
+    request_from_one_node(&mut harness, 2..3);
+    let trace = harness.take_trace();
+    assert!(!trace.contains("node c1 <"), "{trace}");
+    assert!(trace.contains("connect c"), "{trace}");
+}
+
+/// Guards against sessions that stand for their viewers until the removal of their node is reported, although another
+/// node is known to have its address.
+#[test]
+fn sessions_end_once_another_node_is_listed_at_the_address_of_theirs() {
+    let mut harness = Harness::started();
+    set_up_around_a_lost_connection(&mut harness);
+    take_address(&mut harness);
+    let trace = harness.take_trace();
+    for tag in ["01", "02"] {
+        assert!(trace.contains(&format!(r#"viewer 1 < {{"verb":"FINISH","tag":"{tag}""#)), "{trace}");
+    }
+    // The session whose connection is open goes on.
+    assert!(!trace.contains(r#""tag":"03""#), "{trace}");
+}
--- a/crates/platform/src/upstream/discovery.rs
+++ b/crates/platform/src/upstream/discovery.rs
@@ -11,7 +11,7 @@
 use tracing::warn;
 
 use super::{NodeState, encode_release};
-use crate::bus::DiscoveryUpdate;
+use crate::bus::{DiscoveryUpdate, EndpointUpdate};
 use crate::gateway::{Action, Gateway, UpstreamId};
 use crate::message::{Message, Verb};
 
@@ -23,6 +23,7 @@
             unnamed.extend(self.nodes.keys());
         }
         let mut nodes = Vec::with_capacity(update.nodes.len());
+        let replaced = self.replaced_nodes(&update);
         for endpoint in update.nodes {
             unnamed.remove(&endpoint.node);
             let status = match (endpoint.ready, endpoint.removed) {
@@ -51,7 +52,7 @@
             }
             self.adopt_orphaned_releases(now, endpoint.node);
         }
-        for node in unnamed {
+        for node in unnamed.into_iter().chain(replaced) {
             nodes.push(NodeUpdate { node, status: NodeStatus::Gone });
             if let Some(node_state) = self.nodes.get_mut(&node) {
                 let address = node_state.address;
@@ -62,6 +63,26 @@
         self.inputs.push(Input::DiscoveryUpdate { full: update.snapshot, nodes });
     }
 
+    /// Returns the nodes whose address the update gives to another node, and that it doesn't name itself: their
+    /// processes are gone, though their removal may be reported much later.
+    fn replaced_nodes(&self, update: &DiscoveryUpdate) -> BTreeSet<NodeId> {
+        let named: BTreeSet<NodeId> = update.nodes.iter().map(|endpoint| endpoint.node).collect();
+        let is_claimed = |endpoint: &&EndpointUpdate| {
+            let known = self.nodes.get(&endpoint.node).and_then(|node_state| node_state.address);
+            endpoint.ready && endpoint.address.is_some() && endpoint.address != known
+        };
+        let claimed: BTreeSet<SocketAddr> =
+            update.nodes.iter().filter(is_claimed).filter_map(|endpoint| endpoint.address).collect();
+        if claimed.is_empty() || update.snapshot {
+            // A snapshot names all nodes that there are.
+            return BTreeSet::new();
+        }
+        let is_replaced = |(node, node_state): &(&NodeId, &NodeState)| {
+            !named.contains(node) && node_state.address.is_some_and(|address| claimed.contains(&address))
+        };
+        self.nodes.iter().filter(is_replaced).map(|(&node, _)| node).collect()
+    }
+
     /// Ends the sessions of a removed node whose process no connection leads to, and drops the connections that no
     /// session has used: they may lead to another process, which has taken the node's address. Releases that are
     /// queued go to the node that is next at its address.
