Viewers: nothing is set up for a client that closed behind much unread data

Cause: a close was known only once it had been read, and at most 4 KiB are read ahead. All requests before the last 4 KiB were served for nobody.

Ruled out: asking the runtime for the readiness of the socket. It reads a socket that has just been accepted before it has heard of it, and then doesn't know of the close (seen in a trace of the system calls).

The fix: before a line is handed over the socket itself is asked whether the peer's close has arrived (poll with POLLRDHUP, by rustix, which was already in the lock file).

A line is also read ahead in larger pieces: a read of its own for each line was 173 bytes long.

--- a/crates/cli/tests/races.rs
+++ b/crates/cli/tests/races.rs
@@ -17,6 +17,9 @@
     endpoint, endpoint_at, free_address, setup_line,
 };
 
+/// Requests that a viewer sends before it closes, some twenty times as many as fit into one read.
+const UNREAD_REQUESTS: u64 = 400;
+
 /// A director that knows some nodes and has passed its first health check.
 struct Director {
     program: Program,
@@ -188,6 +191,39 @@
     assert!(!setups.is_empty() && !setups.iter().any(|line| line.contains(&tag_text(1))), "{setups:?}");
 }
 
+/// Guards against SETUPs that are sent for a viewer that has closed its connection behind many requests: the close was
+/// known only once all but the last few kilobytes had been processed.
+#[test]
+fn no_setup_is_sent_for_a_viewer_that_closed_behind_many_unread_requests() {
+    let node = Node::start();
+    let director = Director::start(&[endpoint("n1", &node, 0)], |text| {
+        text.replace(r#""kindStreams": [200]"#, r#""kindStreams": [90000]"#)
+    });
+    let mut last = director.viewer();
+    last.request_session(1, "7f");
+    assert!(last.receive().contains("STARTED"));
+    assert!(node.next_line().contains(&tag_text(1)));
+    let mut departing = director.viewer();
+    director.program.suspend();
+    let lines: Vec<String> = (0..UNREAD_REQUESTS).map(|n| setup_line(1000 + n, "7f", 0, 1)).collect();
+    departing.send_line(&lines.join("\n"));
+    let addresses = departing.addresses();
+    drop(departing);
+    addresses.wait_for_close();
+    director.program.resume();
+    let mut last = director.viewer();
+    last.request_session(2, "70");
+    let answer = last.receive();
+    assert!(answer.contains(&tag_text(2)), "{answer}");
+    let setups: Vec<String> = node.received.try_iter().filter(|line| line.contains("START")).collect();
+    assert!(
+        setups.len() == 1 && setups[0].contains(&tag_text(2)),
+        "{} SETUPs: {:?}",
+        setups.len(),
+        setups.first()
+    );
+}
+
 #[test]
 fn a_session_that_starts_as_its_viewer_departs_is_released_at_its_node() {
     for depart in DEPARTURES {
--- a/crates/platform-director/src/line_reader.rs
+++ b/crates/platform-director/src/line_reader.rs
@@ -7,15 +7,14 @@
 
 use std::future::poll_fn;
 use std::io::ErrorKind;
-use std::pin::pin;
 use std::sync::Arc;
-use std::task::{Context, Poll};
 use std::time::Duration;
 
 use ashglade_platform::LineDecoder;
 use ashglade_platform::line_decoder::MAX_LINE_BYTES;
 use bytes::{BufMut, Bytes, BytesMut};
-use tokio::io::{AsyncReadExt, Interest};
+use rustix::event::{PollFd, PollFlags, Timespec, poll};
+use tokio::io::AsyncReadExt;
 use tokio::net::TcpStream;
 use tokio::net::tcp::OwnedReadHalf;
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
@@ -25,8 +24,10 @@
 
 use crate::connection::EndReason;
 
-/// Maximum number of bytes that a connection holds without a reservation, and the maximum number per read.
-const SMALL_BUFFER_BYTES: usize = 4096;
+/// Maximum number of bytes that a connection holds without a reservation.
+const SMALL_BUFFER_BYTES: usize = 6144;
+/// Number of buffered bytes below which what has arrived is read before the next line is handed over.
+const READ_AHEAD_BYTES: usize = 4096;
 /// Number of bytes of a buffer that has room for the longest line and its line feed.
 const LARGE_BUFFER_BYTES: usize = MAX_LINE_BYTES + 1;
 /// Memory that a received message needs beside its text, in bytes.
@@ -233,14 +234,14 @@
         }
         let (Some(text), Some(reservation)) = (line, self.reservation.take()) else { return Ok(None) };
         self.read_available();
-        self.peer_closed |= is_read_closed(self.half.as_ref());
+        self.peer_closed = self.peer_closed || is_read_closed(self.half.as_ref());
         Ok(Some(ReceivedLine { text, reservation, peer_closed: self.peer_closed }))
     }
 
     /// Reads data that has already arrived, as far as it fits into a buffer that is not empty, so that a close
     /// right behind the buffered lines is known before the lines are processed.
     fn read_available(&mut self) {
-        while !self.at_end && !self.buffer.is_empty() && self.buffer.len() < self.buffer_bytes() {
+        while !self.at_end && !self.buffer.is_empty() && self.buffer.len() < READ_AHEAD_BYTES {
             let room = self.buffer_bytes() - self.buffer.len();
             self.buffer.reserve(room);
             match self.half.try_read_buf(&mut (&mut self.buffer).limit(room)) {
@@ -272,9 +273,9 @@
     }
 }
 
-/// Returns whether the peer's close has arrived, maybe behind data that has not been read.
+/// Returns whether the peer's close has arrived, maybe behind data that has not been read. The runtime learns of it
+/// later, so the socket itself is asked.
 fn is_read_closed(stream: &TcpStream) -> bool {
-    let readiness = pin!(stream.ready(Interest::READABLE));
-    let mut context = Context::from_waker(std::task::Waker::noop());
-    matches!(readiness.poll(&mut context), Poll::Ready(Ok(ready)) if ready.is_read_closed())
+    let mut sockets = [PollFd::new(stream, PollFlags::RDHUP)];
+    poll(&mut sockets, Some(&Timespec::default())).is_ok_and(|ready| ready > 0)
 }
