Sessions: one connection takes at most as much room as it leaves for others

Shown here by the new tests with handovers: sessions at nodes of ever new names took all the room for sessions, and every usual viewer was refused with cause 42.

Cause: SETUPs of one connection were bounded by a quarter of the sessions, sessions that it hands over by nothing but the limit of all.

Ruled out, by the same tests on the code before: invalid requests, releases of unknown sessions and requests that nodes fail didn't keep a usual viewer from being served (40 of 40 each). Requests for sessions that nodes grant take capacity that is then in use; that is no fault.

Lines at fault: gateway.rs, adopt_session.

The fix: a connection may hold as many sessions, from their requests on, as are left free (dynamic thresholds, as for bytes). However many connections hold as much as they may, a part as large as theirs remains for the next.

--- a/crates/platform/src/gateway.rs
+++ b/crates/platform/src/gateway.rs
@@ -487,7 +487,8 @@
             // The node is gone and will never report the session's end.
             return self.refuse(downstream, tag, causes::release_cause(AttemptOutcome::Lost));
         }
-        if self.sessions.len() >= self.limits.sessions {
+        let held = self.downstreams.get(&downstream).map_or(0, DownstreamConnection::session_count);
+        if held >= self.free_sessions() {
             return self.refuse(downstream, tag, causes::CONGESTION);
         }
         self.ensure_node(now, node, name);
--- a/crates/platform/src/gateway/downstream.rs
+++ b/crates/platform/src/gateway/downstream.rs
@@ -56,9 +56,14 @@
         ConnectionUse::Unused { opened_at: self.opened_at, had_requests: self.had_requests }
     }
 
+    /// Returns the number of sessions that the connection holds, from their requests on.
+    pub(super) fn session_count(&self) -> usize {
+        self.queued_setups + self.pending.len() + self.playing.len()
+    }
+
     /// Returns whether the connection carries no request and no playing session.
     pub(super) fn is_unused(&self) -> bool {
-        self.queued_setups == 0 && self.pending.is_empty() && self.playing.is_empty()
+        self.session_count() == 0
     }
 }
 
--- a/crates/platform/src/gateway/setup_queue.rs
+++ b/crates/platform/src/gateway/setup_queue.rs
@@ -119,6 +119,7 @@
     /// Queues a SETUP request, unless there is no room for it. While it is queued, its viewer may leave or
     /// cancel it.
     pub(super) fn queue_setup(&mut self, now: Instant, downstream: DownstreamId, tag: Tag, message: Message) {
+        let free_sessions = self.free_sessions();
         let Some(connection) = self.downstreams.get_mut(&downstream) else { return };
         connection.had_requests = true;
         if setup_request::is_handover(&message) {
@@ -127,7 +128,7 @@
         }
         if self.shutdown.is_some_and(|shutdown| !shutdown.serves(now))
             || connection.pending.len() + connection.queued_setups >= self.limits.pending_setups
-            || self.sessions.len() + self.setup_queue.len() >= self.limits.sessions
+            || connection.session_count() >= free_sessions
         {
             return self.refuse(downstream, tag, causes::CONGESTION);
         }
@@ -144,6 +145,12 @@
         self.setup_queue.push(QueuedSetup { received_at: now, downstream, tag, message, bytes });
     }
 
+    /// Returns the number of sessions that there is room for. A connection may hold as many as are left free, so that
+    /// no connection takes all the room from others.
+    pub(super) fn free_sessions(&self) -> usize {
+        self.limits.sessions.saturating_sub(self.sessions.len() + self.setup_queue.len())
+    }
+
     /// Removes the queued SETUP requests with this tag, which their viewer has cancelled.
     pub(super) fn cancel_queued_setup(&mut self, tag: Tag) {
         for downstream in self.setup_queue.remove_tag(tag) {
