SETUPs in progress: one connection leaves room on the nodes' connections for others

The SETUPs of one connection, in progress at the same time, used all streams on all connections to the nodes; a request on another connection was refused with cause 34.

Cause: a SETUP that finds all connections full fails as unsent, and nothing divided the streams between the viewers' connections.

Lines at fault: gateway/setup_queue.rs, handle_setup.

The fix: a connection may have as many SETUPs in progress as the connections to all listed nodes can carry beside those in progress; beyond, it is refused at once with cause 42. Settings without a limit on streams have none here.

--- a/crates/platform/src/gateway/setup_queue.rs
+++ b/crates/platform/src/gateway/setup_queue.rs
@@ -11,6 +11,7 @@
 use crate::causes;
 use crate::message::{Message, Tag};
 use crate::setup_request::{self, SetupRequest};
+use crate::upstream::MAX_UPSTREAMS_PER_NODE;
 
 /// A valid SETUP request that needs an answer, with the bytes that it holds.
 pub(crate) struct HeldRequest {
@@ -151,6 +152,16 @@
         self.limits.sessions.saturating_sub(self.sessions.len() + self.setup_queue.len())
     }
 
+    /// Returns the number of SETUPs that the connections to all nodes can carry beside those in progress. A viewer's
+    /// connection may have as many in progress as are left free.
+    fn free_setup_slots(&self) -> usize {
+        let Some(per_connection) = self.site.max_streams_per_connection else { return usize::MAX };
+        let nodes = self.nodes.values().filter(|node_state| node_state.is_reachable()).count();
+        let slots = nodes.saturating_mul(MAX_UPSTREAMS_PER_NODE).saturating_mul(per_connection);
+        let in_progress = self.downstreams.values().map(|connection| connection.pending.len()).sum();
+        slots.saturating_sub(in_progress)
+    }
+
     /// Removes the queued SETUP requests with this tag, which their viewer has cancelled.
     pub(super) fn cancel_queued_setup(&mut self, tag: Tag) {
         for downstream in self.setup_queue.remove_tag(tag) {
@@ -207,6 +218,11 @@
             }
             return;
         }
+        let in_progress = self.downstreams.get(&downstream).map_or(0, |connection| connection.pending.len());
+        if in_progress >= self.free_setup_slots() {
+            debug!(%tag, link = downstream.0, in_progress, "one connection has as many SETUPs in progress as are left for others");
+            return self.refuse(downstream, tag, causes::CONGESTION);
+        }
         if self.recent_tags.contains(now, tag) {
             debug!(%tag, "refused a request with the tag of a session whose SETUP has been sent");
             return self.refuse(downstream, tag, causes::INVALID_REQUEST);
--- a/crates/platform/src/tests.rs
+++ b/crates/platform/src/tests.rs
@@ -1188,3 +1188,25 @@
         viewer 2 < {"verb":"FINISH","tag":"12","opts":{},"rc":100}
     "#]]);
 }
+
+/// Guards against viewers that are refused because the SETUPs of one connection, in progress at the same time, are all
+/// that the connections to the nodes can carry.
+#[test]
+fn one_connection_does_not_take_all_setups_that_nodes_can_carry() {
+    let mut harness =
+        Harness::started_with(r#""dialTimeout": 250"#, r#""dialTimeout": 250, "maxStreams": 1"#);
+    harness.node_connected("a0").advance(11_000.0).viewer_connects(1).viewer_connects(2);
+    // Three nodes with four connections each carry twelve SETUPs in all, one on each connection.
+    for tag in 0x10..0x30 {
+        harness.request_session(1, tag);
+        let connecting: Vec<UpstreamId> = harness.upstream_names.keys().copied().collect();
+        harness.process(connecting.into_iter().map(Event::UpstreamConnected));
+    }
+    let trace = harness.take_trace();
+    assert_eq!(trace.matches(r#""verb":"START""#).count(), 6, "{trace}");
+    harness.request_session(2, 0x02);
+    let connecting: Vec<UpstreamId> = harness.upstream_names.keys().copied().collect();
+    harness.process(connecting.into_iter().map(Event::UpstreamConnected));
+    let trace = harness.take_trace();
+    assert!(trace.contains(r#""verb":"START","tag":"02""#), "{trace}");
+}
--- a/crates/platform/src/upstream.rs
+++ b/crates/platform/src/upstream.rs
@@ -60,7 +60,7 @@
 /// Maximum number of connections to one node. Each carries as many concurrent SETUPs as the settings allow,
 /// and a node accepts few connections from all directors together. A SETUP that finds all of them full fails
 /// as unsent and is placed elsewhere.
-const MAX_UPSTREAMS_PER_NODE: usize = 4;
+pub(crate) const MAX_UPSTREAMS_PER_NODE: usize = 4;
 
 /// A media node and what waits for it.
 pub(crate) struct NodeState {
@@ -122,6 +122,13 @@
     }
 }
 
+impl NodeState {
+    /// Returns whether the node list gives an address for the node.
+    pub fn is_reachable(&self) -> bool {
+        self.address.is_some()
+    }
+}
+
 /// A connection to a node.
 pub(crate) struct UpstreamConnection {
     pub node: NodeId,
