RTSP: heads of very many short headers are refused, queued requests bounded in bytes

Ruled out: HLS, where the HTTP library takes 100 headers and 16 KiB at most.

Evidence: the new test failed on the code before (2,000 headers were parsed). What a process holds then was not measured, as serve has no memory limit.

Lines at fault: rtsp/src/codec.rs, measure_message; rtsp_connection.rs, next_event.

The fix: a head may have 100 headers, counted before it is parsed, and gets 413 beyond, as one that is too long; requests are read while those that are queued have less than 32 KiB of text.

--- a/crates/director/src/rtsp_connection.rs
+++ b/crates/director/src/rtsp_connection.rs
@@ -32,6 +32,8 @@
 
 /// Maximum number of requests queued behind the one in progress.
 const MAX_QUEUED_REQUESTS: usize = 16;
+/// Number of bytes of their texts from which on no further request is read.
+const MAX_QUEUED_REQUEST_BYTES: usize = 32 * 1024;
 /// Maximum number of frames relayed before a flush.
 const MAX_FRAMES_PER_FLUSH: usize = 64;
 /// Interval of the checks for delivery, idle timeout and keep-alive.
@@ -104,7 +106,8 @@
 impl ViewerConnection {
     /// Waits for the next event. Commands of the engine come before all others.
     async fn next_event(&mut self, tick: &mut tokio::time::Interval) -> Event {
-        let may_read = self.requests.len() < MAX_QUEUED_REQUESTS;
+        let queued_bytes: usize = self.requests.iter().map(messages::text_bytes).sum();
+        let may_read = self.requests.len() < MAX_QUEUED_REQUESTS && queued_bytes < MAX_QUEUED_REQUEST_BYTES;
         let Some(session) = &mut self.session else {
             return tokio::select! {
                 packet = self.connection.next() => Event::ViewerPacket(packet),
--- a/crates/rtsp/src/codec.rs
+++ b/crates/rtsp/src/codec.rs
@@ -8,13 +8,15 @@
 
 use crate::{Request, Response};
 
-/// Size limits of one message, in bytes.
+/// Size limits of one message, in bytes unless stated otherwise.
 #[derive(Clone, Copy, Debug)]
 pub struct Limits {
     /// Length of the request line or status line.
     pub max_line_bytes: usize,
     /// Total length of the first line and all headers.
     pub max_head_bytes: usize,
+    /// Number of headers. Each takes more memory when it is parsed than its text has.
+    pub max_headers: usize,
     pub max_body_bytes: usize,
     /// Payload of an interleaved frame. The format allows up to 65,535.
     pub max_frame_bytes: usize,
@@ -25,6 +27,7 @@
         Limits {
             max_line_bytes: 2 * 1024,
             max_head_bytes: 16 * 1024,
+            max_headers: 100,
             max_body_bytes: 64 * 1024,
             max_frame_bytes: 65_535,
         }
@@ -56,6 +59,8 @@
     LineTooLong { limit: usize },
     #[error("headers exceed {limit} bytes")]
     HeadTooLong { limit: usize },
+    #[error("more than {limit} headers")]
+    TooManyHeaders { limit: usize },
     #[error("body of {length} bytes exceeds the limit of {limit} bytes")]
     BodyTooLong { length: u64, limit: usize },
     #[error("interleaved frame of {length} bytes on channel {channel} exceeds the limit of {limit} bytes")]
@@ -76,9 +81,9 @@
     pub fn status(&self) -> Option<StatusCode> {
         match self {
             CodecError::LineTooLong { .. } => Some(StatusCode::RequestURITooLong),
-            CodecError::HeadTooLong { .. } | CodecError::BodyTooLong { .. } => {
-                Some(StatusCode::RequestMessageBodyTooLarge)
-            }
+            CodecError::HeadTooLong { .. }
+            | CodecError::TooManyHeaders { .. }
+            | CodecError::BodyTooLong { .. } => Some(StatusCode::RequestMessageBodyTooLarge),
             CodecError::Version { .. } => Some(StatusCode::RTSPVersionNotSupported),
             CodecError::Malformed { .. } => Some(StatusCode::BadRequest),
             CodecError::FrameTooLong { .. } | CodecError::Truncated { .. } | CodecError::Io(_) => None,
@@ -148,6 +153,11 @@
             return Err(CodecError::HeadTooLong { limit: self.limits.max_head_bytes });
         }
         let Some(end) = end else { return Ok(None) };
+        // Besides the headers, the head has its first line and an empty last one.
+        let header_count = src[..end].iter().filter(|&&byte| byte == b'\n').count().saturating_sub(2);
+        if header_count > self.limits.max_headers {
+            return Err(CodecError::TooManyHeaders { limit: self.limits.max_headers });
+        }
         let length = parse_content_length(&src[..end])?;
         if length > self.limits.max_body_bytes as u64 {
             return Err(CodecError::BodyTooLong { length, limit: self.limits.max_body_bytes });
--- a/crates/rtsp/src/messages.rs
+++ b/crates/rtsp/src/messages.rs
@@ -6,6 +6,12 @@
 use crate::load::{self, NodeLoad};
 use crate::{Request, Response};
 
+/// Returns the number of bytes of a request's headers and body.
+pub fn text_bytes(request: &Request) -> usize {
+    let headers = request.headers().map(|(name, value)| name.as_str().len() + value.as_str().len());
+    headers.sum::<usize>() + request.body().len()
+}
+
 /// Builds a request without a body.
 pub fn request(method: Method, url: &Url, cseq: u32) -> Request {
     rtsp_types::Request::builder(method, Version::V1_0)
--- a/crates/rtsp/tests/codec.rs
+++ b/crates/rtsp/tests/codec.rs
@@ -60,7 +60,13 @@
 
 #[test]
 fn each_error_has_its_status() {
-    let limits = Limits { max_line_bytes: 60, max_head_bytes: 120, max_body_bytes: 10, max_frame_bytes: 8 };
+    let limits = Limits {
+        max_line_bytes: 60,
+        max_head_bytes: 120,
+        max_body_bytes: 10,
+        max_frame_bytes: 8,
+        ..Limits::default()
+    };
     let long = "x".repeat(100);
     let cases = [
         format!("OPTIONS rtsp://h/{long} RTSP/1.0\r\n\r\n"),
@@ -128,7 +134,7 @@
     ) {
         let bytes = parts.concat();
         let limits =
-            Limits { max_line_bytes: 200, max_head_bytes: 400, max_body_bytes: 100, max_frame_bytes: 2000 };
+            Limits { max_line_bytes: 200, max_head_bytes: 400, max_body_bytes: 100, max_frame_bytes: 2000, ..Limits::default() };
         let whole = decode(limits, [&bytes[..]].into_iter());
         let chunks = split(&bytes, &lengths);
         let chunked = decode(limits, chunks.iter().map(Vec::as_slice));
@@ -154,3 +160,21 @@
         }
     }
 }
+
+/// Guards against a director that is killed for memory by requests with heads of very many short headers, each of
+/// which takes many times its text when it is parsed.
+#[test]
+fn a_head_with_very_many_short_headers_is_refused_before_it_is_parsed() {
+    let request = |headers: usize| {
+        let headers: String = (0..headers).map(|n| format!("a{n:x}:\r\n")).collect();
+        format!("OPTIONS * RTSP/1.0\r\n{headers}\r\n").into_bytes()
+    };
+    let limits = Limits::default();
+    assert_eq!(decode(limits, [&request(limits.max_headers)[..]].into_iter()), ["OPTIONS"]);
+    let too_many = decode(limits, [&request(limits.max_headers + 1)[..]].into_iter());
+    assert_eq!(too_many, ["413: more than 100 headers"]);
+    // As many as fit into the longest head.
+    let longest = request(2_000);
+    assert!(longest.len() < limits.max_head_bytes);
+    assert_eq!(decode(limits, longest.chunks(1000)), ["413: more than 100 headers"]);
+}
