--- a/crates/cli/tests/flood.rs
+++ b/crates/cli/tests/flood.rs
@@ -10,7 +10,7 @@
 
 #[allow(dead_code)]
 mod support;
-use support::{Bus, Node, Program, TIMEOUT, Viewer, endpoint};
+use support::{Node, Program, TIMEOUT, Viewer, endpoint, private_memory_kb};
 
 /// Requests of the usual viewer, one after another, and the time between two of them.
 const USUAL_REQUESTS: u64 = 40;
@@ -77,13 +77,6 @@
     reader.join().unwrap();
 }
 
-/// Returns the private memory of a process in kB.
-fn private_memory_kb(program: &Program) -> u64 {
-    let status = std::fs::read_to_string(format!("/proc/{}/status", program.child.id())).unwrap();
-    let value = status.lines().find_map(|line| line.strip_prefix("RssAnon:")).unwrap();
-    value.split_whitespace().next().unwrap().parse().unwrap()
-}
-
 /// Returns the answer to the request with this tag. A client's connections also carry what is meant for others at
 /// its address.
 fn answer_to(viewer: &mut Viewer, tag: u64) -> String {
@@ -99,18 +92,7 @@
 /// Runs a usual viewer beside a flooding client. Each of its requests must be served before its setup timeout.
 fn assert_usual_viewer_is_served_beside(message: fn(u64) -> String) {
     let node = Node::start();
-    let bus = Arc::new(Bus::default());
-    let (address, polls) = bus.serve();
-    let program = Program::start_with_log(address, "info", |text| {
-        text.replace(
-            r#""memory_mb": 64, "sockets": 64"#,
-            &format!(r#""memory_mb": {MEMORY_LIMIT_MB}, "sockets": 512"#),
-        )
-        .replace(r#""kindStreams": [200]"#, r#""kindStreams": [90000]"#)
-    });
-    bus.publish(&endpoint("n1", &node, 0), true);
-    while polls.recv_timeout(TIMEOUT).unwrap() < 1 {}
-    assert!(Viewer::connect(program.listen).health_check().contains(r#""rc":1"#));
+    let program = Program::start_with_limits(MEMORY_LIMIT_MB, 512, &endpoint("n1", &node, 0));
     std::thread::sleep(SLOW_START);
 
     let flood = FloodingClient::start(program.listen, message);
@@ -122,7 +104,7 @@
         let elapsed = sent_at.elapsed();
         assert!(answer.contains("STARTED"), "request {tag} was refused: {answer}");
         assert!(elapsed < SETUP_TIMEOUT, "request {tag} was answered after {elapsed:?}");
-        let memory_kb = private_memory_kb(&program);
+        let memory_kb = private_memory_kb(program.child.id()).unwrap();
         assert!(memory_kb <= MEMORY_LIMIT_MB * 1024, "{memory_kb} kB are held");
         std::thread::sleep(USUAL_INTERVAL);
     }
--- a/crates/cli/tests/memory.rs
+++ b/crates/cli/tests/memory.rs
@@ -11,7 +11,7 @@
 
 #[allow(dead_code)]
 mod support;
-use support::{Bus, Node, Program, ScriptedNode, TIMEOUT, Viewer, endpoint, endpoint_at};
+use support::{Node, Program, ScriptedNode, TIMEOUT, Viewer, endpoint, endpoint_at, private_memory_kb};
 
 /// The lowest memory limit of the platform.
 const MEMORY_LIMIT_MB: u64 = 32;
@@ -36,19 +36,7 @@
 
 /// Starts a program with the lowest memory limit that knows these nodes and has passed a health check.
 fn start(nodes: &str) -> Program {
-    let bus = Arc::new(Bus::default());
-    let (address, polls) = bus.serve();
-    let program = Program::start_with_log(address, "info", |text| {
-        text.replace(
-            r#""memory_mb": 64, "sockets": 64"#,
-            &format!(r#""memory_mb": {MEMORY_LIMIT_MB}, "sockets": 1024"#),
-        )
-        .replace(r#""kindStreams": [200]"#, r#""kindStreams": [90000]"#)
-    });
-    bus.publish(nodes, true);
-    while polls.recv_timeout(TIMEOUT).unwrap() < 1 {}
-    assert!(Viewer::connect(program.listen).health_check().contains(r#""rc":1"#));
-    program
+    Program::start_with_limits(MEMORY_LIMIT_MB, 1024, nodes)
 }
 
 /// Records the largest amount of private memory of a process, until it is asked for it.
@@ -60,12 +48,12 @@
 
 impl MemoryWatch {
     fn start(program: &Program) -> MemoryWatch {
-        let status_file = format!("/proc/{}/status", program.child.id());
+        let process = program.child.id();
         let (stopped, largest_kb) = (Arc::new(AtomicBool::new(false)), Arc::new(AtomicU64::new(0)));
         let (is_stopped, largest) = (stopped.clone(), largest_kb.clone());
         let thread = std::thread::spawn(move || {
             while !is_stopped.load(Ordering::SeqCst) {
-                largest.fetch_max(private_memory_kb(&status_file), Ordering::SeqCst);
+                largest.fetch_max(private_memory_kb(process).unwrap_or(0), Ordering::SeqCst);
                 std::thread::sleep(Duration::from_millis(1));
             }
         });
@@ -85,13 +73,6 @@
     }
 }
 
-/// Returns the memory that the process holds for itself, without the pages of its program file.
-fn private_memory_kb(status_file: &str) -> u64 {
-    let status = std::fs::read_to_string(status_file).unwrap_or_default();
-    let value = status.lines().find_map(|line| line.strip_prefix("RssAnon:"));
-    value.and_then(|value| value.split_whitespace().next()?.parse().ok()).unwrap_or(0)
-}
-
 /// Returns a request of this title with further members of its fields and a description.
 fn request(tag: u64, key: &str, fields: &str, description: &str) -> String {
     format!(
--- a/crates/cli/tests/support/mod.rs
+++ b/crates/cli/tests/support/mod.rs
@@ -313,6 +313,24 @@
         Program::spawn_with_log(directory, config, listen, PLATFORM_LOG)
     }
 
+    /// Starts the program with these limits and media nodes that take any number of sessions, and waits until it
+    /// knows the nodes and passes a health check.
+    pub fn start_with_limits(memory_mb: u64, sockets: usize, nodes: &str) -> Program {
+        let bus = Arc::new(Bus::default());
+        let (address, polls) = bus.serve();
+        let program = Program::start_with_log(address, "info", |text| {
+            text.replace(
+                r#""memory_mb": 64, "sockets": 64"#,
+                &format!(r#""memory_mb": {memory_mb}, "sockets": {sockets}"#),
+            )
+            .replace(r#""kindStreams": [200]"#, r#""kindStreams": [90000]"#)
+        });
+        bus.publish(nodes, true);
+        while polls.recv_timeout(TIMEOUT).unwrap() < 1 {}
+        assert!(Viewer::connect(program.listen).health_check().contains(r#""rc":1"#));
+        program
+    }
+
     fn spawn_with_log(
         directory: tempfile::TempDir,
         config: PathBuf,
@@ -399,6 +417,14 @@
     }
 }
 
+/// Returns the memory in kB that a process holds for itself, without the pages of its program file, or `None` if it
+/// can't be read.
+pub fn private_memory_kb(process: u32) -> Option<u64> {
+    let status = std::fs::read_to_string(format!("/proc/{process}/status")).ok()?;
+    let value = status.lines().find_map(|line| line.strip_prefix("RssAnon:"))?;
+    value.split_whitespace().next()?.parse().ok()
+}
+
 /// Returns a bus endpoint for a node.
 pub fn endpoint(name: &str, node: &Node, cell: u16) -> String {
     endpoint_at(name, node.address, cell)
--- a/crates/platform-director/src/command_queue.rs
+++ b/crates/platform-director/src/command_queue.rs
@@ -1,6 +1,6 @@
 //! The event loop's side of a connection: a queue of commands that is bounded in number and in bytes.
 
-use ashglade_platform::{ByteAccount, ByteReservation, QUEUED_LINE_OVERHEAD_BYTES};
+use ashglade_platform::{ByteAccount, ByteReservation, queued_line_bytes};
 use bytes::Bytes;
 use tokio::sync::mpsc;
 
@@ -51,7 +51,7 @@
 
     /// Queues a line. Returns the line if the connection has ended, or its queue is full in number or bytes.
     pub fn send_line(&self, line: Bytes) -> Result<(), Bytes> {
-        let Some(reservation) = self.queued_bytes.reserve(line.len() + QUEUED_LINE_OVERHEAD_BYTES) else {
+        let Some(reservation) = self.queued_bytes.reserve(queued_line_bytes(line.len())) else {
             return Err(line);
         };
         let command = ConnectionCommand::SendLine(QueuedLine { line, _bytes: reservation });
--- a/crates/platform-director/src/connection.rs
+++ b/crates/platform-director/src/connection.rs
@@ -33,6 +33,7 @@
 const CLOSE_TIMEOUT: Duration = Duration::from_millis(250);
 /// Time after a write within which the data may still be in transit, so that a reset could lose it.
 const TRANSIT_TIME: Duration = Duration::from_secs(1);
+
 /// Why a connection ended.
 #[derive(Clone, Copy, PartialEq, Eq)]
 pub enum EndReason {
--- a/crates/platform-director/src/line_reader.rs
+++ b/crates/platform-director/src/line_reader.rs
@@ -223,15 +223,10 @@
     /// Splits the next line off the buffer, and looks whether the peer has closed meanwhile.
     fn take_line(&mut self) -> Result<Option<ReceivedLine>, EndReason> {
         let line = self.decoder.decode(&mut self.buffer).map_err(|_| EndReason::ProtocolError)?;
-        if self.buffer.is_empty() {
-            self.buffer = BytesMut::new();
-        } else if self.large_buffer.is_some() && self.buffer.len() <= SMALL_BUFFER_BYTES {
+        if self.buffer.len() <= SMALL_BUFFER_BYTES && self.large_buffer.take().is_some() {
             // What follows the long line is moved, so that nothing keeps its memory.
             self.buffer = BytesMut::from(&self.buffer[..]);
         }
-        if self.buffer.len() <= SMALL_BUFFER_BYTES {
-            self.large_buffer = None;
-        }
         let (Some(text), Some(reservation)) = (line, self.reservation.take()) else { return Ok(None) };
         self.read_available();
         self.peer_closed = self.peer_closed || is_read_closed(self.half.as_ref());
--- a/crates/platform/src/byte_budget.rs
+++ b/crates/platform/src/byte_budget.rs
@@ -48,8 +48,7 @@
     /// Reserves bytes until the returned reservation is dropped. Returns `None` if the party would hold more
     /// than is left free.
     pub fn reserve(&self, bytes: usize) -> Option<ByteReservation> {
-        let held = self.held.load(Ordering::Relaxed) + bytes;
-        if held > self.budget.limit.saturating_sub(self.budget.used()) {
+        if !self.has_room_within(1.0, bytes) {
             return None;
         }
         self.held.fetch_add(bytes, Ordering::Relaxed);
--- a/crates/platform/src/gateway.rs
+++ b/crates/platform/src/gateway.rs
@@ -487,8 +487,7 @@
             // The node is gone and will never report the session's end.
             return self.refuse(downstream, tag, causes::release_cause(AttemptOutcome::Lost));
         }
-        let held = self.downstreams.get(&downstream).map_or(0, DownstreamConnection::session_count);
-        if held >= self.free_sessions() {
+        if !self.has_room_for_session(downstream) {
             return self.refuse(downstream, tag, causes::CONGESTION);
         }
         self.ensure_node(now, node, name);
--- a/crates/platform/src/gateway/setup_queue.rs
+++ b/crates/platform/src/gateway/setup_queue.rs
@@ -1,11 +1,13 @@
 //! SETUP requests from their arrival until the engine gets them, bounded in number and in bytes.
 
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::collections::btree_map::Entry;
+use std::collections::{BTreeMap, VecDeque};
 
 use ashglade::time::{Instant, Span};
 use ashglade_engine::Input;
 use tracing::debug;
 
+use super::downstream::DownstreamConnection;
 use super::{ANSWER_MARGIN_MS, DownstreamId, Gateway};
 use crate::byte_budget::ByteReservation;
 use crate::causes;
@@ -35,8 +37,8 @@
     by_connection: BTreeMap<DownstreamId, VecDeque<QueuedSetup>>,
     /// The connections with queued requests, the next one to be served first.
     turns: VecDeque<DownstreamId>,
-    /// The tags of the queued requests, with their connections.
-    tags: BTreeSet<(Tag, DownstreamId)>,
+    /// Numbers of the queued requests with the same tag and connection.
+    tags: BTreeMap<(Tag, DownstreamId), usize>,
     length: usize,
 }
 
@@ -52,7 +54,7 @@
     /// Adds a request behind the others of its connection.
     pub fn push(&mut self, setup: QueuedSetup) {
         let downstream = setup.downstream;
-        self.tags.insert((setup.tag, downstream));
+        *self.tags.entry((setup.tag, downstream)).or_default() += 1;
         self.length += 1;
         let setups = self.by_connection.entry(downstream).or_default();
         if setups.is_empty() {
@@ -90,7 +92,7 @@
     /// Removes the requests with this tag. Returns the connections of the removed requests.
     pub fn remove_tag(&mut self, tag: Tag) -> Vec<DownstreamId> {
         let connections = self.tags.range((tag, DownstreamId(0))..=(tag, DownstreamId(u64::MAX)));
-        let connections: Vec<DownstreamId> = connections.map(|&(_, downstream)| downstream).collect();
+        let connections: Vec<DownstreamId> = connections.map(|(&(_, downstream), _)| downstream).collect();
         let mut removed = Vec::new();
         for downstream in connections {
             self.tags.remove(&(tag, downstream));
@@ -107,11 +109,13 @@
         removed
     }
 
-    /// Forgets a tag unless another request of the connection has the same one.
+    /// Counts one request less with this tag.
     fn forget_tag(&mut self, tag: Tag, downstream: DownstreamId) {
-        let has_same_tag = |setups: &VecDeque<QueuedSetup>| setups.iter().any(|setup| setup.tag == tag);
-        if !self.by_connection.get(&downstream).is_some_and(has_same_tag) {
-            self.tags.remove(&(tag, downstream));
+        if let Entry::Occupied(mut count) = self.tags.entry((tag, downstream)) {
+            *count.get_mut() -= 1;
+            if *count.get() == 0 {
+                count.remove();
+            }
         }
     }
 }
@@ -120,7 +124,7 @@
     /// Queues a SETUP request, unless there is no room for it. While it is queued, its viewer may leave or
     /// cancel it.
     pub(super) fn queue_setup(&mut self, now: Instant, downstream: DownstreamId, tag: Tag, message: Message) {
-        let free_sessions = self.free_sessions();
+        let has_room = self.has_room_for_session(downstream);
         let Some(connection) = self.downstreams.get_mut(&downstream) else { return };
         connection.had_requests = true;
         if setup_request::is_handover(&message) {
@@ -129,7 +133,7 @@
         }
         if self.shutdown.is_some_and(|shutdown| !shutdown.serves(now))
             || connection.pending.len() + connection.queued_setups >= self.limits.pending_setups
-            || connection.session_count() >= free_sessions
+            || !has_room
         {
             return self.refuse(downstream, tag, causes::CONGESTION);
         }
@@ -146,10 +150,12 @@
         self.setup_queue.push(QueuedSetup { received_at: now, downstream, tag, message, bytes });
     }
 
-    /// Returns the number of sessions that there is room for. A connection may hold as many as are left free, so that
-    /// no connection takes all the room from others.
-    pub(super) fn free_sessions(&self) -> usize {
-        self.limits.sessions.saturating_sub(self.sessions.len() + self.setup_queue.len())
+    /// Returns whether a connection may hold a further session: as many as are left free, so that no connection takes
+    /// all the room from others.
+    pub(super) fn has_room_for_session(&self, downstream: DownstreamId) -> bool {
+        let held = self.downstreams.get(&downstream).map_or(0, DownstreamConnection::session_count);
+        let free = self.limits.sessions.saturating_sub(self.sessions.len() + self.setup_queue.len());
+        held < free
     }
 
     /// Returns the number of SETUPs that the connections to all nodes can carry beside those in progress. A viewer's
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -25,7 +25,7 @@
 pub use gateway::{Action, CloseReason, DownstreamId, Event, Gateway, OpenWork, UpstreamId};
 pub use line_decoder::LineDecoder;
 pub use message::{Message, Tag, Verb};
-pub use resource_limits::{QUEUED_LINE_OVERHEAD_BYTES, ResourceLimits};
+pub use resource_limits::{ResourceLimits, queued_line_bytes};
 
 #[cfg(test)]
 mod answer_length_tests;
--- a/crates/platform/src/repeated_tag_tests.rs
+++ b/crates/platform/src/repeated_tag_tests.rs
@@ -3,11 +3,6 @@
 use expect_test::expect;
 
 use crate::tests::Harness;
-use crate::{DownstreamId, Event};
-
-fn disconnect(harness: &mut Harness, viewer: u64) -> &mut Harness {
-    harness.process([Event::DownstreamClosed(DownstreamId(viewer), Vec::new())])
-}
 
 /// Guards against a session that is set up twice, because its client left and sent the same request again while the
 /// first SETUP could still run at a node.
@@ -20,7 +15,7 @@
         .request_session(1, 0x01)
         .node_connected("c1")
         .take_trace();
-    disconnect(&mut harness, 1).take_trace();
+    harness.process([Harness::viewer_close(1)]).take_trace();
     harness.viewer_connects(2).request_session(2, 0x01).expect_trace(expect![[r#"
         viewer 2 < {"verb":"FINISH","tag":"01","opts":{},"rc":100}
     "#]]);
@@ -51,7 +46,7 @@
 fn a_request_of_which_nothing_was_sent_may_come_again() {
     let mut harness = Harness::started();
     harness.node_connected("a0").viewer_connects(1).request_session(1, 0x01).take_trace();
-    disconnect(&mut harness, 1).take_trace();
+    harness.process([Harness::viewer_close(1)]).take_trace();
     harness.node_connected("c1").viewer_connects(2).request_session(2, 0x01);
     let trace = harness.take_trace();
     assert!(trace.contains(r#""verb":"START","tag":"01""#), "{trace}");
--- a/crates/platform/src/resource_limits.rs
+++ b/crates/platform/src/resource_limits.rs
@@ -4,7 +4,7 @@
 //!
 //! Messages may be 16 KiB long, a hundred times their usual length, so what holds messages is limited in bytes
 //! as well: at most three quarters of the memory limit in all. Short lines that are received in part come on top: at
-//! most 4 KiB for each connection, whose number the limit on descriptors bounds.
+//! most 6 KiB for each connection, whose number the limit on descriptors bounds.
 
 use crate::line_decoder::MAX_LINE_BYTES;
 
@@ -19,20 +19,26 @@
 /// Bytes in one MB of the memory limit.
 const BYTES_PER_MB: f64 = 1_000_000.0;
 /// Parts of the memory limit that may be used for the texts of requests without an answer, for messages that
-/// have been received and not processed, and for lines that are queued in each direction.
+/// have been received from viewers or from nodes and not processed, for long lines that are received in part, and
+/// for lines that are queued in each direction.
 const REQUEST_BYTES_DIVISOR: f64 = 8.0;
 const RECEIVED_BYTES_DIVISOR: f64 = 64.0;
 const NODE_RECEIVED_BYTES_DIVISOR: f64 = 32.0;
 const LARGE_BUFFER_BYTES_DIVISOR: f64 = 4.0;
 const LINE_BYTES_DIVISOR: f64 = 8.0;
 /// Memory that a queued line needs beside its text, in bytes.
-pub const QUEUED_LINE_OVERHEAD_BYTES: usize = 128;
+const QUEUED_LINE_OVERHEAD_BYTES: usize = 128;
 /// Upper bound of the bytes of received messages, however much memory there is: what is read earlier than it can be
 /// processed only waits longer.
 const MAX_RECEIVED_BYTES: usize = 512 * 1024;
 /// Lower bound of the limits on bytes, however little memory there is: a few messages of any length.
 const MIN_BYTES: usize = 8 * MAX_LINE_BYTES;
 
+/// Returns the memory that a queued line of this length needs, in bytes.
+pub fn queued_line_bytes(length: usize) -> usize {
+    length + QUEUED_LINE_OVERHEAD_BYTES
+}
+
 /// Maximum numbers of entries that a director holds.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct ResourceLimits {
--- a/crates/platform/src/tests.rs
+++ b/crates/platform/src/tests.rs
@@ -789,7 +789,7 @@
         Event::DownstreamMessage(DownstreamId(viewer), Message::parse(line.as_bytes()).unwrap())
     }
 
-    fn viewer_close(viewer: u64) -> Event {
+    pub fn viewer_close(viewer: u64) -> Event {
         Event::DownstreamClosed(DownstreamId(viewer), Vec::new())
     }
 
@@ -1148,16 +1148,17 @@
     "#]]);
 }
 
+/// Returns the event of a request that is refused, as it names a cell that does not exist.
+fn invalid_request(viewer: u64, tag: u64) -> Event {
+    Harness::viewer_message(viewer, &setup_line(tag, "home:9;copies:3;top:2", "v=0"))
+}
+
 /// Guards against a viewer whose request waits behind all that another connection has sent before it.
 #[test]
 fn a_request_does_not_wait_behind_the_queue_of_another_connection() {
     let mut harness = Harness::started();
     harness.viewer_connects(1).viewer_connects(2).take_trace();
-    let invalid = |viewer: u64, tag: u64| {
-        let line = setup_line(tag, "home:9;copies:3;top:2", "v=0");
-        Event::DownstreamMessage(DownstreamId(viewer), Message::parse(line.as_bytes()).unwrap())
-    };
-    let flood: Vec<Event> = (0..500).map(|n| invalid(1, 0x100 + n)).chain([invalid(2, 0x02)]).collect();
+    let flood = (0..500).map(|n| invalid_request(1, 0x100 + n)).chain([invalid_request(2, 0x02)]);
     harness.process(flood);
     // One call handles a part of the queue, in which each connection has its turn.
     let trace = harness.take_trace();
@@ -1171,19 +1172,13 @@
 fn queued_requests_are_cancelled_by_tag_and_by_connection() {
     let mut harness = Harness::started();
     harness.viewer_connects(1).viewer_connects(2).take_trace();
-    let request = |viewer: u64, tag: u64| {
-        let line = setup_line(tag, "home:9;copies:3;top:2", "v=0");
-        Event::DownstreamMessage(DownstreamId(viewer), Message::parse(line.as_bytes()).unwrap())
-    };
-    let release = |viewer: u64, tag: u64| {
-        let line = format!(r#"{{"verb":"FINISH","tag":"{tag:016x}","opts":{{}},"rc":16}}"#);
-        Event::DownstreamMessage(DownstreamId(viewer), Message::parse(line.as_bytes()).unwrap())
-    };
+    let cancel = r#"{"verb":"FINISH","tag":"0000000000000010","opts":{},"rc":16}"#;
     // The tag 0x10 is queued on both connections and cancelled on both; the other requests of connection 1 end
     // with the connection.
-    let mut events = vec![request(1, 0x10), request(1, 0x11), request(2, 0x10), request(2, 0x12)];
-    events.extend([release(2, 0x10), Event::DownstreamClosed(DownstreamId(1), Vec::new())]);
-    harness.process(events).expect_trace(expect![[r#"
+    let requests = [(1, 0x10), (1, 0x11), (2, 0x10), (2, 0x12)];
+    let requests = requests.map(|(viewer, tag)| invalid_request(viewer, tag));
+    let leaving = [Harness::viewer_message(2, cancel), Harness::viewer_close(1)];
+    harness.process(requests.into_iter().chain(leaving)).expect_trace(expect![[r#"
         viewer 1 (closed) < {"verb":"FINISH","tag":"11","opts":{},"rc":42}
         viewer 2 < {"verb":"FINISH","tag":"12","opts":{},"rc":100}
     "#]]);
--- a/crates/platform/src/upstream.rs
+++ b/crates/platform/src/upstream.rs
@@ -25,7 +25,7 @@
 use crate::causes;
 use crate::gateway::{Action, Attempt, CloseReason, Gateway, HeldRequest, UpstreamId};
 use crate::message::{self, Message, Tag, Verb};
-use crate::resource_limits::QUEUED_LINE_OVERHEAD_BYTES;
+use crate::resource_limits::queued_line_bytes;
 
 pub(crate) use process_identity::ProcessId;
 
@@ -120,9 +120,7 @@
             connection_lost_at: None,
         }
     }
-}
 
-impl NodeState {
     /// Returns whether the node list gives an address for the node.
     pub fn is_reachable(&self) -> bool {
         self.address.is_some()
@@ -274,14 +272,17 @@
     /// Returns whether a further connection to the node is needed, on which it repeats the ends of sessions that it
     /// may have reported on one that was given up.
     fn awaits_repeated_releases(&self, node: NodeId) -> bool {
+        let node_state = self.nodes.get(&node);
+        node_state.is_some_and(|state| state.may_repeat_releases && !state.playing.is_empty())
+            && !self.is_connecting(node)
+    }
+
+    /// Returns whether a connection to the node is being established.
+    fn is_connecting(&self, node: NodeId) -> bool {
         let is_connecting = |upstream: &UpstreamId| {
             self.upstreams.get(upstream).is_some_and(|connection| !connection.connected)
         };
-        self.nodes.get(&node).is_some_and(|node_state| {
-            node_state.may_repeat_releases
-                && !node_state.playing.is_empty()
-                && !node_state.upstreams.iter().any(is_connecting)
-        })
+        self.nodes.get(&node).is_some_and(|node_state| node_state.upstreams.iter().any(is_connecting))
     }
 
     /// Ends the sessions that have played at the node since `until` or earlier, as lost, and drops lines that
@@ -323,14 +324,10 @@
         } else {
             AttemptOutcome::Unreachable
         };
-        let Some(node_state) = self.nodes.get_mut(&node) else { return };
-        if node_state
-            .upstreams
-            .iter()
-            .any(|upstream| self.upstreams.get(upstream).is_some_and(|connection| !connection.connected))
-        {
+        if self.is_connecting(node) {
             return;
         }
+        let Some(node_state) = self.nodes.get_mut(&node) else { return };
         let (setups, probes) =
             (std::mem::take(&mut node_state.waiting_setups), std::mem::take(&mut node_state.waiting_probes));
         for session in setups {
@@ -361,29 +358,23 @@
         state.attempt = Some(attempt);
         match self.available_upstream(now, node) {
             Some(upstream) => self.send_setup(now, session, upstream),
-            None => match self.nodes.get_mut(&node) {
-                Some(node_state)
-                    if node_state
-                        .upstreams
-                        .iter()
-                        .any(|id| self.upstreams.get(id).is_some_and(|connection| !connection.connected)) =>
-                {
+            None if self.is_connecting(node) => {
+                if let Some(node_state) = self.nodes.get_mut(&node) {
                     node_state.waiting_setups.push_back(session);
                 }
-                // All connections that the node may have are full, or no descriptor is left: nothing was
-                // sent.
-                _ => {
-                    if let Some(state) = self.sessions.get_mut(&session) {
-                        state.attempt = None;
-                    }
-                    self.inputs.push(Input::SetupFailed {
-                        session,
-                        setup,
-                        outcome: AttemptOutcome::Unsent,
-                        load: None,
-                    });
+            }
+            // All connections that the node may have are full, or no descriptor is left: nothing was sent.
+            None => {
+                if let Some(state) = self.sessions.get_mut(&session) {
+                    state.attempt = None;
                 }
-            },
+                self.inputs.push(Input::SetupFailed {
+                    session,
+                    setup,
+                    outcome: AttemptOutcome::Unsent,
+                    load: None,
+                });
+            }
         }
     }
 
@@ -414,11 +405,13 @@
         ];
         let line = message::encode(Verb::Start, state.tag, &opts, None, Some(&request.description));
         // Lines of this call are not reserved yet: its actions are carried out when it has ended.
-        let setup_bytes = self.setup_bytes_in_call + QUEUED_LINE_OVERHEAD_BYTES;
+        let setup_bytes = self.setup_bytes_in_call;
         let connection = self.upstreams.get(&upstream);
         let has_room = |line: &Bytes| {
             let part = if line.len() < LONG_SETUP_BYTES { SETUP_LINE_PART } else { LONG_SETUP_LINE_PART };
-            connection.is_some_and(|c| c.line_bytes.has_room_within(part, line.len() + setup_bytes))
+            connection.is_some_and(|c| {
+                c.line_bytes.has_room_within(part, setup_bytes + queued_line_bytes(line.len()))
+            })
         };
         let Some(line) = line.filter(has_room) else {
             state.attempt = None;
@@ -429,7 +422,7 @@
                 load: None,
             });
         };
-        self.setup_bytes_in_call += line.len() + QUEUED_LINE_OVERHEAD_BYTES;
+        self.setup_bytes_in_call += queued_line_bytes(line.len());
         attempt.sent = Some((upstream, now));
         state.setup_sent = true;
         if let Some(connection) = self.upstreams.get_mut(&upstream) {
@@ -558,11 +551,7 @@
         if let Some(&upstream) = node_state.upstreams.iter().rev().find(has_room) {
             return Some(upstream);
         }
-        if node_state
-            .upstreams
-            .iter()
-            .all(|upstream| self.upstreams.get(upstream).is_none_or(|connection| connection.connected))
-        {
+        if !self.is_connecting(node) {
             self.connect(now, node);
         }
         None
--- a/crates/platform/src/upstream/checks.rs
+++ b/crates/platform/src/upstream/checks.rs
@@ -75,15 +75,12 @@
         if !connected_lately && self.awaits_repeated_releases(node) {
             self.connect(now, node);
         }
+        let connecting = self.is_connecting(node);
         let Some(node_state) = self.nodes.get_mut(&node) else { return };
         let is_connected = |upstream: &&UpstreamId| {
             self.upstreams.get(upstream).is_some_and(|connection| connection.connected)
         };
         let connected = node_state.upstreams.iter().find(is_connected).copied();
-        let connecting = node_state
-            .upstreams
-            .iter()
-            .any(|upstream| self.upstreams.get(upstream).is_some_and(|connection| !connection.connected));
         match (connected, node_state.health_check_sent_at) {
             (Some(upstream), None) if has_elapsed(node_state.last_heard_at, QUIET_PERIOD_SECONDS) => {
                 node_state.health_check_sent_at = Some(now);
